--- /dev/null
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -0,0 +1,54 @@
+package dev.vanillarun.core.job
+
+import dev.vanillarun.core.store.TopicRecord
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * Records of jobs as the store keeps them.
+ *
+ * The key of a result names its writer: results of two runs never replace each other, so that the first stays first.
+ */
+public object JobRecordCodec {
+    private const val SUBMITTED = "job"
+    private const val FINISHED = "result"
+    private const val ENDED = "end"
+    private const val KEY_PARTS = 2
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** The record that [record] is kept as; [writer] is unique to this run of the process. */
+    public fun encode(record: JobRecord, writer: String): TopicRecord = when (record) {
+        is JobRecord.Submitted ->
+            TopicRecord("$SUBMITTED/${record.job}", json.encodeToString(Job.serializer(), record.content).bytes())
+
+        is JobRecord.Finished -> TopicRecord(
+            "$FINISHED/${record.job}/${record.result.item}/$writer",
+            json.encodeToString(ItemResult.serializer(), record.result).bytes(),
+        )
+
+        is JobRecord.Ended -> TopicRecord("$ENDED/${record.job}", "{}".bytes())
+    }
+
+    /** What [value] under [key] says; null for a record of another build or one that was removed. */
+    public fun decode(key: String, value: ByteArray?): JobRecord? {
+        val parts = key.split('/')
+        if (value == null || parts.size < KEY_PARTS) return null
+        val job = JobId(parts[1])
+        return try {
+            when (parts[0]) {
+                SUBMITTED -> JobRecord.Submitted(json.decodeFromString(Job.serializer(), value.decodeToString()))
+
+                FINISHED ->
+                    JobRecord.Finished(job, json.decodeFromString(ItemResult.serializer(), value.decodeToString()))
+
+                ENDED -> JobRecord.Ended(job)
+
+                else -> null
+            }
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private fun String.bytes() = encodeToByteArray()
+}
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/HttpServer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/HttpServer.kt
@@ -8,21 +8,23 @@
 import io.ktor.server.netty.Netty
 
 /** A listening HTTP server. */
-internal class HttpServer private constructor(
+public class HttpServer private constructor(
     private val server: EmbeddedServer<*, *>,
     /** Address that it listens on, `host:port`. */
-    val address: String,
+    public val address: String,
 ) {
-    fun stop() {
+    /** Stops at once. */
+    public fun stop() {
         server.stop(0, 0)
     }
 
-    companion object {
+    /** Start of servers. */
+    public companion object {
         private const val MAX_LINE_BYTES = 8 * 1024
         private const val MAX_HEADER_BYTES = 64 * 1024
 
         /** Listens on [listen], `host:port`; port 0 takes a free one. */
-        suspend fun start(
+        public suspend fun start(
             listen: String,
             connections: Connections? = null,
             module: Application.() -> Unit,
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.daemon.target
 
 import io.ktor.http.HeadersBuilder
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.asExecutor
 import kotlinx.coroutines.channels.Channel
@@ -49,7 +50,7 @@
         val client = if (request.freshConnection) freshClient() else lasting.get().client
         val pump = BodyPump()
         val response = try {
-            client.sendAsync(request.toJdk()) { pump }.await()
+            client.sendAsync(request.toJdk()) { pump }.awaitOrAbort()
         } catch (e: ConnectException) {
             return Exchange.NotSent(e.summary())
         } catch (e: HttpConnectTimeoutException) {
@@ -103,6 +104,19 @@
     override fun close(): Unit = Unit
 }
 
+/**
+ * Waits for the head of the answer; cancelling the wait closes the connection.
+ *
+ * The client of the JDK gives an exchange up only on a cancellation that may interrupt, which the coroutine library's
+ * own `await` does not ask for.
+ */
+private suspend fun <T> CompletableFuture<T>.awaitOrAbort(): T = try {
+    await()
+} catch (e: CancellationException) {
+    cancel(true)
+    throw e
+}
+
 /** Hands the body on part by part, asking the connection for the next one only when the last was taken. */
 private class BodyPump :
     HttpResponse.BodySubscriber<Unit>,
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
@@ -0,0 +1,81 @@
+package dev.vanillarun.hosted.duty
+
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.CustomerId
+import dev.vanillarun.core.id.InstanceId
+import dev.vanillarun.core.id.WeightVersion
+import dev.vanillarun.core.log.Offset
+import dev.vanillarun.core.platform.PlatformResult
+
+/** Who acts on a duty, and with which fencing number. */
+public data class Authority(
+    /** Instance. */
+    public val holder: InstanceId,
+    /** Term of its lease. */
+    public val term: Offset,
+)
+
+/** What an engine says of itself when asked. */
+public data class EngineReport(
+    /** Version of each model. */
+    public val weights: Map<String, WeightVersion>,
+    /** True while an order is carried out. */
+    public val busy: Boolean,
+    /** Orders that it has accepted since its start. */
+    public val acceptedOrders: Long,
+)
+
+/** What becomes of requests that run while weights change. */
+public enum class RunsMeanwhile {
+    /** They end under the old weights before the change. */
+    FINISH,
+
+    /** They go on under the new weights. */
+    GO_ON,
+}
+
+/** Order to an engine to load weights. */
+public data class LoadOrder(
+    /** Model. */
+    public val model: String,
+    /** Version. */
+    public val version: WeightVersion,
+    /** What becomes of running requests. */
+    public val runs: RunsMeanwhile,
+    /** [EngineReport.acceptedOrders] that the order is based on; it has no effect on an engine that is further. */
+    public val basedOn: Long,
+)
+
+/** Answer of an engine to an order. */
+public enum class OrderAnswer {
+    /** It is being carried out. */
+    ACCEPTED,
+
+    /** The engine already serves the version. */
+    HOLDS,
+
+    /** Another order was first. */
+    CONFLICT,
+
+    /** A successor has given orders already. */
+    FENCED,
+
+    /** The engine does not take it. */
+    REJECTED,
+}
+
+/** Calls to engines and to the hosting platform that only the holder of a duty may make. */
+public interface HostingCalls {
+    /** Asks [engine] for its state; null if it does not answer. */
+    public suspend fun report(engine: Replica): EngineReport?
+
+    /** Gives [order] to [engine]. */
+    public suspend fun order(engine: Replica, order: LoadOrder, authority: Authority): PlatformResult<OrderAnswer>
+
+    /** Reports the requests of each customer in [window]. */
+    public suspend fun reportUsage(
+        window: Long,
+        requests: Map<CustomerId, Long>,
+        authority: Authority,
+    ): PlatformResult<Unit>
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
@@ -0,0 +1,190 @@
+package dev.vanillarun.hosted.duty
+
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.InstanceId
+import dev.vanillarun.core.id.RouteName
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.id.WeightVersion
+import dev.vanillarun.core.order.RolloutLimits
+import dev.vanillarun.core.order.WeightReplica
+import dev.vanillarun.core.order.planWeightLoads
+import dev.vanillarun.core.placement.ModelPlacement
+import dev.vanillarun.core.placement.placeModels
+import dev.vanillarun.core.platform.PlatformResult
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.daemon.agreement.DutyRunner
+import dev.vanillarun.hosted.catalog.CatalogSource
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.TargetBook
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What [WeightLoads] looks at. */
+internal class LoadInputs(
+    val catalog: CatalogSource,
+    val replicas: ReplicaSource,
+    val placement: PlacementBoard,
+    val book: TargetBook,
+)
+
+/**
+ * Places models on engines and brings the newest weights there; acts only while this instance holds the duty.
+ *
+ * An engine is asked for its state before each order, and the order names the state that it is based on. An order whose
+ * answer was lost may be carried out seconds later; the next one is sent only on the ground of a newer state.
+ */
+internal class WeightLoads(
+    private val duty: DutyRunner,
+    private val calls: HostingCalls,
+    private val inputs: LoadInputs,
+    private val placements: DurableAppender,
+    private val self: InstanceId,
+    private val clock: MonotonicClock,
+    private val events: EventRecorder,
+) {
+    private data class Load(val since: Instant, val failures: Int = 0, val failedAt: Instant? = null)
+
+    private val loads = ConcurrentHashMap<TargetId, Load>()
+    private val underWay = ConcurrentHashMap.newKeySet<TargetId>()
+
+    /** Acts until the calling coroutine is cancelled. */
+    suspend fun run(): Nothing = coroutineScope {
+        while (true) {
+            if (duty.state.value.mayAct(clock.now(), ORDER_TIME)) act(this)
+            delay(TICK)
+        }
+        @Suppress("UNREACHABLE_CODE")
+        error("ends by cancellation only")
+    }
+
+    private suspend fun act(scope: CoroutineScope) {
+        val catalog = inputs.catalog.catalog.value ?: return
+        catalog.services.values.filter { it.models.isNotEmpty() }.forEach { service ->
+            val engines = inputs.replicas.of(service.name)
+            if (engines.isEmpty()) return@forEach
+            val before = inputs.placement.placement.value
+            val placement = placeModels(service.models, engines, before)
+            if (placement != before) placements.keep(PlacementBoard.record(placement))
+            service.models.forEach { model -> load(scope, model, engines, placement) }
+        }
+    }
+
+    private fun load(scope: CoroutineScope, model: String, engines: List<Replica>, placement: ModelPlacement) {
+        val version = inputs.catalog.named.value[model] ?: return
+        val placed = placement.enginesOf(model)
+        val known = engines.filter { it.id in placed }.map { it.seen(model) }
+        val limits = RolloutLimits(
+            maxLoading = maxOf(MOST_LOADING, engines.size / ENGINES_A_LOAD) - underWay.size,
+            loadTimeout = LOAD_TIMEOUT,
+            retryPause = RETRY_PAUSE,
+        )
+        planWeightLoads(known, version, limits, clock.now()).forEach { id ->
+            val engine = engines.first { it.id == id }
+            if (underWay.add(id)) scope.launch { bring(engine, model, version) }
+        }
+    }
+
+    private fun Replica.seen(model: String): WeightReplica {
+        val load = loads[id]
+        return WeightReplica(
+            target = id,
+            dataCentre = dataCentre,
+            routes = setOf(RouteName(model)),
+            version = WeightVersion(inputs.book.weights(this, model)),
+            loadingSince = load?.since.takeIf { id in underWay },
+            failures = load?.failures ?: 0,
+            failedAt = load?.failedAt,
+        )
+    }
+
+    private suspend fun bring(engine: Replica, model: String, version: WeightVersion) {
+        val since = clock.now()
+        loads.compute(engine.id) { _, before -> (before ?: Load(since)).copy(since = since) }
+        try {
+            val loaded = ordered(engine, model, version)
+            val failed = loads[engine.id]?.failures ?: 0
+            loads[engine.id] = if (loaded) Load(since) else Load(since, failed + 1, clock.now())
+            val took = "${(clock.now() - since).inWholeMilliseconds}"
+            note(if (loaded) "weights.loaded" else "weights.failed", engine, model, version, "elapsed_ms" to took)
+        } finally {
+            underWay.remove(engine.id)
+        }
+    }
+
+    /** Orders [version] and waits until [engine] says that it serves it. */
+    private suspend fun ordered(engine: Replica, model: String, version: WeightVersion): Boolean {
+        val report = calls.report(engine) ?: return false
+        if (serves(report, engine, model, version)) return true
+        if (!report.busy && !give(engine, model, version, report)) return false
+        val until = clock.now() + LOAD_TIMEOUT
+        while (clock.now() < until) {
+            delay(REPORT_PAUSE)
+            if (inputs.book.weights(engine, model) >= version.number) return true
+            val next = calls.report(engine) ?: continue
+            if (serves(next, engine, model, version)) return true
+            if (!next.busy && next.acceptedOrders == report.acceptedOrders) return false
+        }
+        return false
+    }
+
+    private fun serves(report: EngineReport, engine: Replica, model: String, version: WeightVersion): Boolean {
+        val served = report.weights[model] ?: return false
+        inputs.book.serves(engine, model, served)
+        return served >= version
+    }
+
+    private suspend fun give(engine: Replica, model: String, version: WeightVersion, report: EngineReport): Boolean {
+        val single = inputs.catalog.catalog.value?.routes.orEmpty().any { route ->
+            route.singleVersion && route.services.any { it.service == engine.service }
+        }
+        val runs = if (single) RunsMeanwhile.FINISH else RunsMeanwhile.GO_ON
+        val order = LoadOrder(model, version, runs, report.acceptedOrders)
+        val answer = duty.performBeside(ORDER_TIME) { term, guard ->
+            if (guard.permits()) calls.order(engine, order, Authority(self, term)) else PlatformResult.Withheld
+        }
+        note("weights.ordered", engine, model, version, "based_on" to "${order.basedOn}", "answer" to "$answer")
+        return when (answer) {
+            is PlatformResult.Answered -> answer.value == OrderAnswer.ACCEPTED || answer.value == OrderAnswer.HOLDS
+            is PlatformResult.InDoubt -> true
+            is PlatformResult.Refused, PlatformResult.Withheld, null -> false
+        }
+    }
+
+    private fun note(
+        name: String,
+        engine: Replica,
+        model: String,
+        version: WeightVersion,
+        vararg more: Pair<String, String>,
+    ) {
+        val what = mapOf("target" to engine.id.value, "model" to model, "version" to "${version.number}") + more
+        events.record(name, EventLinks(duty = duty.duty.value), what)
+    }
+
+    private companion object {
+        val TICK = 100.milliseconds
+
+        /** Longest call of an order; has to fit into what is left of the lease. */
+        val ORDER_TIME = 600.milliseconds
+
+        /** Engines that load at a time without slowing each other down, as the operators state for the fleets of today. */
+        const val MOST_LOADING = 2
+
+        /** On larger fleets one of so many engines may load at a time. */
+        const val ENGINES_A_LOAD = 4
+        val LOAD_TIMEOUT = 5.seconds
+        val RETRY_PAUSE = 300.milliseconds
+
+        /** Pause between two questions to an engine that loads; a load takes about 0.9 s and a report lags by 0.2 s. */
+        val REPORT_PAUSE = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -0,0 +1,175 @@
+package dev.vanillarun.hosted.front
+
+import dev.vanillarun.core.catalog.Catalog
+import dev.vanillarun.core.catalog.CatalogCustomer
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.KeyVerdict
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.authorize
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.daemon.forward.HeaderRules
+import dev.vanillarun.hosted.catalog.CatalogSource
+import dev.vanillarun.hosted.duty.UsageMeter
+import dev.vanillarun.hosted.live.LiveForwarder
+import dev.vanillarun.hosted.live.LiveOutcome
+import dev.vanillarun.hosted.live.LiveRequest
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.ByteArrayContent
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.install
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receive
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respond
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/** Serves callers: finds what they ask for, on which route and for which customer, and answers. */
+internal class FrontServer(
+    private val dialect: CallerDialect,
+    private val catalog: CatalogSource,
+    private val live: LiveForwarder,
+    private val jobs: JobEndpoint,
+    private val usage: UsageMeter,
+    private val calls: CallCount,
+    private val clock: MonotonicClock,
+    private val events: EventRecorder,
+) {
+    /** Adds the behaviour towards callers to [application]. */
+    fun install(application: Application) {
+        application.install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        application.intercept(ApplicationCallPipeline.Call) { calls.counted { handle(context) } }
+    }
+
+    private suspend fun handle(call: ApplicationCall) {
+        val received = clock.now()
+        val head = RequestHead(call.request.httpMethod.value, call.request.uri, call.request.headers)
+        val terms = dialect.terms(head)
+        terms.id?.let { call.response.header(dialect.idHeader, it) }
+        if (calls.closing) call.response.header(HttpHeaders.Connection, "close")
+        val body = call.receive<ByteArray>()
+        val reply = reply(head, terms, body, received)
+        call.send(reply)
+        val elapsed = clock.now() - received
+        calls.answered(reply.status, elapsed)
+        val what = mapOf(
+            "status" to "${reply.status}",
+            "reason" to reply.reason,
+            "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
+            "catalog" to "${catalog.catalog.value?.version}",
+            "method" to head.method,
+        )
+        events.record(
+            if (reply.status <
+                FIRST_ERROR
+            ) {
+                "request.served"
+            } else {
+                "request.ended"
+            },
+            EventLinks(request = terms.id),
+            what,
+        )
+    }
+
+    private suspend fun reply(
+        head: RequestHead,
+        terms: CallTerms,
+        body: ByteArray,
+        received: dev.vanillarun.core.time.Instant,
+    ): Reply {
+        val known = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY)
+        val asked = dialect.call(head)
+        if (asked is CallerCall.Malformed) return Reply(BAD_REQUEST, "malformed: ${asked.message}")
+        if (asked != CallerCall.Request) return jobCall(asked, known, terms)
+        val route = known.route(terms.host, head.path)
+        val customer = when (val verdict = known.authorize(route, terms.key)) {
+            is KeyVerdict.Allowed -> verdict.customer
+            KeyVerdict.Unknown -> return certain(Reply(UNAUTHORIZED, "the key is unknown"))
+        }
+        if (route == null) return certain(Reply(NOT_FOUND, "no route"))
+        if (route.kind == RequestKind.ROLLOUT) return jobs.submit(head, terms, route, customer, body)
+        return forward(head, terms, route, customer, body, received)
+    }
+
+    private suspend fun jobCall(asked: CallerCall, known: Catalog, terms: CallTerms): Reply {
+        val customer = when (val verdict = known.authorize(null, terms.key)) {
+            is KeyVerdict.Allowed -> verdict.customer
+            KeyVerdict.Unknown -> return certain(Reply(UNAUTHORIZED, "the key is unknown"))
+        }
+        return jobs.answer(asked, customer)
+    }
+
+    /** A verdict that rests on something missing from the catalog needs a catalog that misses no change. */
+    private fun certain(reply: Reply): Reply =
+        if (catalog.isCurrent()) reply else Reply.notRun("not sure: ${reply.reason}", UNSURE_RETRY)
+
+    private suspend fun forward(
+        head: RequestHead,
+        terms: CallTerms,
+        route: CatalogRoute,
+        customer: CatalogCustomer?,
+        body: ByteArray,
+        received: dev.vanillarun.core.time.Instant,
+    ): Reply {
+        val allowed = minOf(terms.timeLeft ?: Duration.INFINITE, route.timeout)
+        val request = LiveRequest(
+            id = terms.id.orEmpty(),
+            method = head.method,
+            uri = head.uri,
+            host = terms.host,
+            headers = HeaderRules.towardsTarget(head.headers, secret = null),
+            body = body,
+            route = route,
+            customer = customer,
+            received = received,
+            deadline = received + allowed,
+        )
+        val outcome = live.serve(request)
+        if (customer != null && outcome !is LiveOutcome.NotRun) usage.count(customer.id)
+        return when (outcome) {
+            is LiveOutcome.Whole -> Reply(outcome.status, "answered", outcome.body, outcome.headers)
+            LiveOutcome.Streamed -> Reply(OK, "streamed")
+            is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(route))
+            is LiveOutcome.Unknown -> Reply(if (outcome.late) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
+        }
+    }
+
+    /** Soon enough for a further try within the objective, late enough that a place has become free. */
+    private fun retryAfter(route: CatalogRoute): Duration = route.objective / RETRIES_IN_OBJECTIVE
+
+    private suspend fun ApplicationCall.send(reply: Reply) {
+        reply.headers.forEach { name, values ->
+            if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) values.forEach { response.header(name, it) }
+        }
+        reply.retryAfter?.let {
+            response.header(HttpHeaders.RetryAfter, it.toString(DurationUnit.SECONDS, decimals = 2).removeSuffix("s"))
+        }
+        val type = reply.headers[HttpHeaders.ContentType]?.let { runCatching { ContentType.parse(it) }.getOrNull() }
+        respond(ByteArrayContent(reply.body, type, HttpStatusCode.fromValue(reply.status)))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val FIRST_ERROR = 400
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val BAD_GATEWAY = 502
+        const val GATEWAY_TIMEOUT = 504
+        const val RETRIES_IN_OBJECTIVE = 4
+        val NOT_READY_RETRY = 300.milliseconds
+
+        /** Other instances may know more at once. */
+        val UNSURE_RETRY = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -0,0 +1,283 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.ItemOrder
+import dev.vanillarun.core.job.ItemResult
+import dev.vanillarun.core.job.ItemState
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobRecord
+import dev.vanillarun.core.job.JobRecordCodec
+import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.job.Transcript
+import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.job.groupRanks
+import dev.vanillarun.core.placement.EngineLoad
+import dev.vanillarun.core.placement.chooseEngine
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.catalog.CatalogSource
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.TargetBook
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a [JobRunner] looks at. */
+internal class RunnerInputs(
+    val board: JobBoard,
+    val catalog: CatalogSource,
+    val replicas: ReplicaSource,
+    val placement: PlacementBoard,
+    val slots: SlotMembership,
+    val book: TargetBook,
+)
+
+/**
+ * Runs the items of the jobs whose slot belongs to this instance.
+ *
+ * All jobs of a model share a slot, so one instance sees all work for the engines that serve the model and knows what
+ * each of them runs. All state is confined to one thread at a time.
+ */
+internal class JobRunner(
+    private val inputs: RunnerInputs,
+    private val samples: SampleRun,
+    private val rewards: RewardCaller,
+    private val appender: DurableAppender,
+    private val writer: String,
+    private val clock: MonotonicClock,
+    private val wallClock: () -> Long,
+    private val events: EventRecorder,
+) {
+    private data class RunKey(val job: JobId, val item: ItemId)
+
+    private enum class Conclusion { SCORE, ABORT }
+
+    private class Running(val work: kotlinx.coroutines.Job, val engine: TargetId?)
+
+    private data class Progress(
+        val transcript: Transcript = Transcript(),
+        val complete: Boolean = false,
+        val failures: Int = 0,
+        val notBefore: Instant? = null,
+    )
+
+    private val confined: CoroutineDispatcher = Dispatchers.Default.limitedParallelism(1)
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val running = HashMap<RunKey, Running>()
+    private val progress = HashMap<ItemId, Progress>()
+    private val settled = HashSet<RunKey>()
+    private val groups = HashMap<JobId, Map<String, Int>>()
+
+    /** Runs until the calling coroutine is cancelled. */
+    suspend fun run(): Nothing = withContext(confined) {
+        launch { inputs.board.table.collect { wake.trySend(Unit) } }
+        launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
+        while (true) {
+            step(this)
+            withTimeoutOrNull(TICK) { wake.receive() }
+        }
+        @Suppress("UNREACHABLE_CODE")
+        error("a runner ends by cancellation only")
+    }
+
+    private fun step(scope: CoroutineScope) {
+        val mine = inputs.board.table.value.jobs.values.filter(::isMine)
+        stopOthers(mine)
+        val waiting = mine.flatMap(::waiting).sortedWith(ItemOrder)
+        waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
+    }
+
+    private fun isMine(view: JobView): Boolean {
+        val job = view.job ?: return false
+        return view.open && inputs.slots.owns(job.subject) && route(job) != null
+    }
+
+    private fun route(job: Job): CatalogRoute? = inputs.catalog.catalog.value?.route(job.host, job.path)
+
+    private fun stopOthers(mine: List<JobView>) {
+        val open = mine.associateBy { it.job?.id }
+        running.filterKeys { key -> open[key.job]?.positions?.containsKey(key.item) != false }.forEach { (key, run) ->
+            run.work.cancel()
+            running.remove(key)
+        }
+        settled.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
+        groups.keys.retainAll { it in open }
+        if (progress.size > MAX_PROGRESS) progress.clear()
+    }
+
+    private fun waiting(view: JobView): List<WaitingItem> {
+        val job = view.job ?: return emptyList()
+        val route = route(job) ?: return emptyList()
+        val ranks = groups.getOrPut(job.id) { groupRanks(job, returnedGroups(job)) }
+        val objective = route.jobObjective ?: route.timeout
+        val now = clock.now()
+        return job.items.filter { item ->
+            val key = RunKey(job.id, item.id)
+            val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
+            due && item.id !in view.positions && key !in running && key !in settled
+        }.map { item ->
+            WaitingItem(
+                job = job.id,
+                item = item,
+                dueAt = job.submittedAt + objective.inWholeMilliseconds,
+                priority = route.priority,
+                begun = progress[item.id]?.transcript?.let { it.last > 0 } ?: false,
+                groupRank = ranks[item.group] ?: 0,
+            )
+        }
+    }
+
+    private fun returnedGroups(job: Job): Set<String> =
+        job.items.filter { it.id in progress }.mapTo(HashSet()) { it.group }
+
+    private fun dispatch(scope: CoroutineScope, view: JobView, waiting: WaitingItem) {
+        val job = view.job ?: return
+        val route = route(job) ?: return
+        val task = SampleTask(job, waiting.item, route)
+        val key = RunKey(job.id, waiting.item.id)
+        val known = progress.getOrPut(waiting.item.id) { Progress() }.fittingFor(task)
+        progress[waiting.item.id] = known
+        val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
+        val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
+        if (end != null) {
+            running[key] = Running(scope.launch { conclude(task, end) }, engine = null)
+            return
+        }
+        val engine = engineFor(task) ?: return
+        running[key] = Running(scope.launch { attempt(task, engine) }, engine.id)
+    }
+
+    /** What was received of an item in an earlier job goes on only if its versions are allowed here. */
+    private fun Progress.fittingFor(task: SampleTask): Progress {
+        val allowed = transcript.versions.all { it >= task.job.minVersion }
+        return if (allowed) this else Progress(failures = failures, notBefore = notBefore)
+    }
+
+    private fun engineFor(task: SampleTask): Replica? {
+        val model = task.job.model
+        val engines = task.route.services.flatMap { inputs.replicas.of(it.service) }
+            .filter { model.isEmpty() || inputs.book.weights(it, model) >= task.job.minVersion }
+            .filter(inputs.book::usable)
+        val placed = inputs.placement.placement.value.enginesOf(model)
+        val loads = engines.map { engine ->
+            EngineLoad(
+                id = engine.id,
+                slots = engine.slots,
+                running = running.values.count { it.engine == engine.id },
+                pace = inputs.book.of(engine).pace,
+                placed = placed.isEmpty() || engine.id in placed,
+            )
+        }
+        val chosen = chooseEngine(loads) ?: return null
+        return engines.first { it.id == chosen.id }
+    }
+
+    private suspend fun attempt(task: SampleTask, engine: Replica) {
+        val key = RunKey(task.job.id, task.item.id)
+        val before = progress.getValue(task.item.id)
+        val begun = clock.now()
+        note("item.sent", task, "target" to engine.id.value, "after_event" to "${before.transcript.last}")
+        val end = samples.run(task, engine, before.transcript)
+        val elapsed = clock.now() - begun
+        note("item.run_ended", task, "target" to engine.id.value, "end" to end.word(), "elapsed_ms" to elapsed.ms())
+        progress[task.item.id] = before.after(end)
+        wake.trySend(Unit)
+        val conclusion = when (end) {
+            is RunEnd.Complete -> Conclusion.SCORE
+            RunEnd.Impossible -> Conclusion.ABORT
+            RunEnd.Failed -> Conclusion.ABORT.takeIf { before.failures + 1 >= task.route.maxAttempts }
+            else -> null
+        }
+        if (conclusion == null) {
+            running.remove(key)
+        } else {
+            running[key] = Running(currentCoroutineContext().job, engine = null)
+            conclude(task, conclusion)
+        }
+    }
+
+    /** Has the whole text of [task] scored and records it, or gives the item up. */
+    private suspend fun conclude(task: SampleTask, conclusion: Conclusion) {
+        val reward = task.item.reward
+        val scored = if (conclusion == Conclusion.SCORE && reward != null) rewards.score(reward) else null
+        when {
+            conclusion == Conclusion.ABORT || scored == Reward.Exhausted -> record(task, ItemState.ABORTED)
+            else -> record(task, ItemState.COMPLETED, (scored as? Reward.Scored)?.signature)
+        }
+        val key = RunKey(task.job.id, task.item.id)
+        settled += key
+        running.remove(key)
+    }
+
+    private fun Progress.after(end: RunEnd): Progress = when (end) {
+        is RunEnd.Complete -> copy(transcript = end.transcript, complete = true)
+        is RunEnd.Interrupted -> copy(transcript = end.transcript, notBefore = clock.now() + RESUME_PAUSE)
+        is RunEnd.Unfit -> Progress(failures = failures, notBefore = clock.now() + RESUME_PAUSE)
+        RunEnd.Failed -> copy(failures = failures + 1, notBefore = clock.now() + RESUME_PAUSE)
+        RunEnd.Impossible -> this
+        is RunEnd.NotRun -> copy(notBefore = clock.now() + REFUSED_PAUSE)
+    }
+
+    private suspend fun record(task: SampleTask, state: ItemState, score: String? = null) {
+        val transcript = progress[task.item.id]?.transcript ?: Transcript()
+        val whole = state == ItemState.COMPLETED
+        val result = ItemResult(
+            item = task.item.id,
+            state = state,
+            text = if (whole) transcript.text else "",
+            versions = if (whole) transcript.versions.sorted() else emptyList(),
+            score = score,
+        )
+        appender.keep(JobRecordCodec.encode(JobRecord.Finished(task.job.id, result), writer))
+        note("item.recorded", task, "state" to state.name.lowercase(), "versions" to "${result.versions}")
+    }
+
+    private fun note(name: String, task: SampleTask, vararg what: Pair<String, String>) {
+        val links = EventLinks(request = task.job.id.value, sample = task.item.id.value)
+        events.record(name, links, what.toMap())
+    }
+
+    private fun RunEnd.word(): String = when (this) {
+        is RunEnd.Complete -> "complete after ${transcript.last} events"
+        is RunEnd.Interrupted -> "interrupted after ${transcript.last} events: $reason"
+        is RunEnd.Unfit -> "unfit: $reason"
+        RunEnd.Failed -> "failed"
+        RunEnd.Impossible -> "impossible"
+        is RunEnd.NotRun -> "not run: $reason"
+    }
+
+    private fun Duration.ms() = "$inWholeMilliseconds"
+
+    private companion object {
+        /** How often the runner looks at what became due without a notice. */
+        val TICK = 100.milliseconds
+
+        /** Pause before an item goes on elsewhere: the engine before has to see its connection close. */
+        val RESUME_PAUSE = 30.milliseconds
+
+        /** Pause before an item that was refused is sent again. */
+        val REFUSED_PAUSE = 50.milliseconds
+
+        /** Items whose text is remembered for later jobs; about a minute of a fleet's work. */
+        const val MAX_PROGRESS = 8192
+    }
+}
+
+/** What decides who runs a job: all jobs of a model are run together. */
+internal val Job.subject: String get() = model.ifEmpty { id.value }
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -0,0 +1,70 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.job.RewardCall
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.catalog.CatalogSource
+import dev.vanillarun.hosted.live.LiveForwarder
+import dev.vanillarun.hosted.live.LiveOutcome
+import dev.vanillarun.hosted.live.LiveRequest
+import io.ktor.http.Headers
+import kotlinx.coroutines.delay
+import java.util.Base64
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How a reward call ended. */
+internal sealed interface Reward {
+    /** The service scored the sample. */
+    data class Scored(val signature: String) : Reward
+
+    /** As many targets as the route allows have failed. */
+    data object Exhausted : Reward
+}
+
+/** Has samples scored by plain services. */
+internal class RewardCaller(
+    private val catalog: CatalogSource,
+    private val forwarder: LiveForwarder,
+    private val clock: MonotonicClock,
+    private val events: EventRecorder,
+) {
+    /** Makes [call] until it succeeds or its route allows no further failure. */
+    suspend fun score(call: RewardCall): Reward {
+        var errors = 0
+        while (true) {
+            val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
+            if (route != null) {
+                val now = clock.now()
+                val request = LiveRequest(
+                    id = call.id,
+                    method = "POST",
+                    uri = call.path,
+                    host = call.host,
+                    headers = Headers.Empty,
+                    body = Base64.getDecoder().decode(call.body),
+                    route = route,
+                    customer = null,
+                    received = now,
+                    deadline = now + route.timeout,
+                )
+                val outcome = forwarder.serve(request)
+                if (outcome is LiveOutcome.Whole) {
+                    val signature = outcome.signature
+                    if (outcome.status < FIRST_ERROR && signature != null) return Reward.Scored(signature)
+                    errors += outcome.serverErrors
+                    if (errors >= route.maxAttempts) return Reward.Exhausted
+                }
+                events.record("reward.retried", EventLinks(request = call.id), mapOf("errors" to "$errors"))
+            }
+            delay(PAUSE)
+        }
+    }
+
+    private companion object {
+        const val FIRST_ERROR = 300
+
+        /** Pause before a call is made again; a fraction of a typical service time. */
+        val PAUSE = 40.milliseconds
+    }
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -0,0 +1,63 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.catalog.CatalogCustomer
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.hosted.target.OutgoingRequest
+import io.ktor.http.Headers
+
+/** A request of a live caller, with route and customer found. */
+internal class LiveRequest(
+    val id: String,
+    val method: String,
+    val uri: String,
+    val host: String,
+    val headers: Headers,
+    val body: ByteArray,
+    val route: CatalogRoute,
+    val customer: CatalogCustomer?,
+    val received: Instant,
+    /** When the caller, or the operator, wants it to be over. */
+    val deadline: Instant,
+) {
+    /** True if running twice does no harm. */
+    val repeatable: Boolean get() = route.kind == RequestKind.IDEMPOTENT
+
+    /** Rank, 0 first; a customer's own goes before the route's. */
+    val priority: Int get() = customer?.priority ?: route.priority
+
+    /** The request as it leaves at [now]. */
+    fun outgoing(now: Instant) = OutgoingRequest(
+        id = id,
+        method = method,
+        uri = uri,
+        host = host,
+        headers = headers,
+        body = body,
+        customer = customer?.id,
+        timeLeft = deadline - now,
+        priority = priority,
+    )
+}
+
+/** What a live caller gets. */
+internal sealed interface LiveOutcome {
+    /** The whole answer of a target; [serverErrors] targets failed, this one counted if it did. */
+    class Whole(
+        val status: Int,
+        val headers: Headers,
+        val body: ByteArray,
+        val signature: String?,
+        val serverErrors: Int = 0,
+    ) : LiveOutcome
+
+    /** A stream was passed on to its end. */
+    data object Streamed : LiveOutcome
+
+    /** No target has run it, and none will. */
+    data class NotRun(val reason: String) : LiveOutcome
+
+    /** It may have run; [late] if its time is up. */
+    data class Unknown(val reason: String, val late: Boolean) : LiveOutcome
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -0,0 +1,67 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.target.TargetBook
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Chooses targets of plain services: the one where an answer is expected first. */
+internal class ReplicaChooser(
+    private val replicas: ReplicaSource,
+    private val book: TargetBook,
+    private val clock: MonotonicClock,
+    private val random: Random = Random.Default,
+) {
+    /** A target for a request on [route] that is not among [tried], or null. */
+    fun choose(route: CatalogRoute, tried: Set<TargetId>): Replica? {
+        val service = service(route) ?: return null
+        val known = replicas.of(service).filter { it.id !in tried }
+        val usable = known.filter(book::usable)
+        return usable.ifEmpty { known }.minByOrNull { expected(it) * (1 + JITTER * random.nextDouble()) }
+    }
+
+    /** True if every target of [route] is taken up. */
+    fun isFull(route: CatalogRoute): Boolean {
+        val known = route.services.flatMap { replicas.of(it.service) }
+        return known.isNotEmpty() && known.all { !book.usable(it) && book.of(it).failures == 0 }
+    }
+
+    private fun service(route: CatalogRoute): String? {
+        val shares = route.services.filter { it.weight > 0 }
+        val total = shares.sumOf { it.weight }
+        if (shares.size <= 1 || total <= 0) return shares.firstOrNull()?.service
+        var left = random.nextInt(total)
+        return shares.firstOrNull {
+            left -= it.weight
+            left < 0
+        }?.service
+    }
+
+    private fun expected(replica: Replica): Double {
+        val seen = book.of(replica)
+        val told = seen.load?.takeIf { seen.loadAt?.let { at -> clock.now() - at < LOAD_LIFETIME } == true }
+        val busy = maxOf(seen.running, told?.let { it.running + it.waiting } ?: 0)
+        val queued = maxOf(0, busy + 1 - replica.slots).toDouble() / replica.slots.coerceAtLeast(1)
+        val crowding = busy.toDouble() / replica.slots.coerceAtLeast(1) * CROWDING
+        return (seen.pace ?: UNKNOWN_PACE).inWholeMicroseconds * (1 + crowding + queued)
+    }
+
+    private companion object {
+        /** Spread of scores, so that instances that know the same do not choose alike. */
+        const val JITTER = 0.3
+
+        /** Part by which a target that is nearly full answers more slowly. */
+        const val CROWDING = 0.5
+
+        /** Age up to which a told load counts; a few service times. */
+        val LOAD_LIFETIME: Duration = 500.milliseconds
+
+        /** Time of an answer that is assumed of a target not yet seen. */
+        val UNKNOWN_PACE: Duration = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/StallLimit.kt
@@ -0,0 +1,47 @@
+package dev.vanillarun.hosted.target
+
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+
+/** Notes that something was received. */
+internal class Activity(private val clock: MonotonicClock) {
+    /** When something was received last. */
+    @Volatile
+    var last: Instant = clock.now()
+        private set
+
+    /** Something was received. */
+    fun seen() {
+        last = clock.now()
+    }
+}
+
+/** Runs [block], and ends it with null once nothing was received for [limit]. */
+internal suspend fun <T> withStallLimit(limit: Duration, clock: MonotonicClock, block: suspend (Activity) -> T): T? =
+    coroutineScope {
+        val activity = Activity(clock)
+        val work = async { block(activity) }
+        val watch = launch {
+            while (true) {
+                val left = activity.last + limit - clock.now()
+                if (left <= Duration.ZERO) work.cancel() else delay(left)
+                if (left <= Duration.ZERO) break
+            }
+        }
+        try {
+            work.await()
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            null
+        } finally {
+            watch.cancel()
+        }
+    }
