--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/ModelPlacement.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/ModelPlacement.kt
@@ -37,7 +37,7 @@
     }
 }
 
-/** Model with the fewest engines; among those the one with the fewest in the engine's data centre. */
+/** Model with the fewest engines in the engine's data centre; among those the one with the fewest in all. */
 private fun bestModel(
     models: List<String>,
     engine: Replica,
@@ -45,8 +45,8 @@
     byId: Map<TargetId, Replica>,
 ): String = models.minWith(
     compareBy(
-        { model -> placed.values.count { it == model } },
         { model -> placed.count { (id, of) -> of == model && byId.getValue(id).dataCentre == engine.dataCentre } },
+        { model -> placed.values.count { it == model } },
         { model -> -(engine.weights[model]?.number ?: 0) },
         { model -> model },
     ),
--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/catalog/CatalogTest.kt
@@ -0,0 +1,55 @@
+package dev.vanillarun.core.catalog
+
+import dev.vanillarun.core.id.CustomerId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+private fun route(name: String, prefix: String, open: Boolean = false) = CatalogRoute(
+    name = name,
+    host = "Shop.example",
+    pathPrefix = prefix,
+    kind = RequestKind.IDEMPOTENT,
+    services = listOf(ServiceShare("s")),
+    timeout = 1.seconds,
+    objective = 1.seconds,
+    open = open,
+)
+
+class CatalogTest :
+    DescribeSpec({
+        val customer = CatalogCustomer(CustomerId("hule"))
+        val catalog = Catalog(
+            version = 1,
+            routes = listOf(route("all", "/"), route("desk", "/desk/"), route("open", "/desk/open/", open = true)),
+            keys = mapOf("k" to customer),
+            keyed = true,
+        )
+
+        describe("the route of a path") {
+            it("is the one with the longest prefix, whatever the case of the host") {
+                catalog.route("shop.EXAMPLE", "/desk/open/1")?.name shouldBe "open"
+                catalog.route("shop.example", "/desk/1")?.name shouldBe "desk"
+                catalog.route("shop.example", "/desk")?.name shouldBe "all"
+            }
+            it("is none on another host") {
+                catalog.route("other.example", "/") shouldBe null
+            }
+        }
+        describe("a key") {
+            val desk = catalog.route("shop.example", "/desk/1")
+            val open = catalog.route("shop.example", "/desk/open/1")
+            it("admits its customer") {
+                catalog.authorize(desk, "k") shouldBe KeyVerdict.Allowed(customer)
+                catalog.authorize(open, "k") shouldBe KeyVerdict.Allowed(customer)
+            }
+            it("that nobody holds admits to open routes only") {
+                catalog.authorize(desk, "x") shouldBe KeyVerdict.Unknown
+                catalog.authorize(desk, null) shouldBe KeyVerdict.Unknown
+                catalog.authorize(open, null) shouldBe KeyVerdict.Allowed(null)
+            }
+            it("is not asked for where the operator has no customers") {
+                catalog.copy(keyed = false).authorize(desk, null) shouldBe KeyVerdict.Allowed(null)
+            }
+        }
+    })
--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/JobTableTest.kt
@@ -0,0 +1,99 @@
+package dev.vanillarun.core.job
+
+import dev.vanillarun.core.id.CustomerId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.choice
+import io.kotest.property.arbitrary.element
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.map
+import io.kotest.property.checkAll
+
+private val ids = listOf("a", "b").map(::JobId)
+private val items = (1..4).map { ItemId("item-$it") }
+
+private fun job(id: JobId) = Job(
+    id = id,
+    customer = CustomerId("hule"),
+    host = "h",
+    path = "/p/",
+    submittedAt = 0,
+    items = items.map { JobItem(it, path = "/p/x") },
+)
+
+private val records: Arb<JobRecord> = Arb.choice(
+    Arb.element(ids).map { JobRecord.Submitted(job(it)) },
+    Arb.element(ids).map { JobRecord.Ended(it) },
+    Arb.int(0 until ids.size * items.size * 3).map {
+        val result = ItemResult(items[it % items.size], ItemState.COMPLETED, text = "run ${it / items.size}")
+        JobRecord.Finished(ids[it % ids.size], result)
+    },
+)
+
+class JobTableTest :
+    DescribeSpec({
+        fun fold(all: List<JobRecord>) = all.fold(JobTable(), JobTable::apply)
+
+        describe("results of a job") {
+            it("keep their position and content whatever comes later") {
+                checkAll(Arb.list(records, 0..40), Arb.list(records, 0..10)) { first, later ->
+                    val before = fold(first)
+                    val after = later.fold(before, JobTable::apply)
+                    before.jobs.forEach { (id, view) ->
+                        after.jobs.getValue(id).results.take(view.results.size) shouldBe view.results
+                    }
+                }
+            }
+            it("hold each item once, at the position that the index names") {
+                checkAll(Arb.list(records, 0..60)) { all ->
+                    fold(all).jobs.values.forEach { view ->
+                        view.results.map { it.item }.distinct().size shouldBe view.results.size
+                        view.positions shouldBe view.results.withIndex().associate { (at, it) -> it.item to at }
+                    }
+                }
+            }
+            it("are the same for a reader that meets submissions only at their newest place") {
+                checkAll(Arb.list(records, 0..40)) { all ->
+                    val compacted = all.filterNot { it is JobRecord.Submitted } +
+                        all.filterIsInstance<JobRecord.Submitted>().distinct()
+                    fold(compacted).jobs.mapValues { it.value.results } shouldBe
+                        fold(all).jobs.mapValues { it.value.results }
+                }
+            }
+        }
+
+        describe("a job") {
+            it("is open from its submission until it is ended or all items are listed") {
+                val submitted = fold(listOf(JobRecord.Submitted(job(ids[0]))))
+                submitted.jobs.getValue(ids[0]).open shouldBe true
+                submitted.apply(JobRecord.Ended(ids[0])).jobs.getValue(ids[0]).open shouldBe false
+                val all = items.map { JobRecord.Finished(ids[0], ItemResult(it, ItemState.ABORTED)) }
+                all.fold(submitted, JobTable::apply).jobs.getValue(ids[0]).open shouldBe false
+            }
+            it("is not open while only results of it are known") {
+                fold(listOf(JobRecord.Finished(ids[0], ItemResult(items[0], ItemState.ABORTED)))).jobs
+                    .getValue(ids[0]).open shouldBe false
+            }
+        }
+
+        describe("the records' form") {
+            it("gives back what was recorded") {
+                checkAll(records) { record ->
+                    val stored = JobRecordCodec.encode(record, writer = "w.1")
+                    JobRecordCodec.decode(stored.key, stored.value) shouldBe record
+                }
+            }
+            it("keeps the results of two runs apart, so that the first is never replaced") {
+                val record = JobRecord.Finished(ids[0], ItemResult(items[0], ItemState.COMPLETED, "x"))
+                (JobRecordCodec.encode(record, "w.1").key == JobRecordCodec.encode(record, "w.2").key) shouldBe false
+            }
+            it("tells nothing of a removed, damaged or unknown record") {
+                JobRecordCodec.decode("job/a", null) shouldBe null
+                JobRecordCodec.decode("job/a", "{".encodeToByteArray()) shouldBe null
+                JobRecordCodec.decode("later/a", "{}".encodeToByteArray()) shouldBe null
+                JobRecordCodec.decode("x", "{}".encodeToByteArray()) shouldBe null
+            }
+        }
+    })
--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/TranscriptTest.kt
@@ -0,0 +1,51 @@
+package dev.vanillarun.core.job
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.bind
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.arbitrary.orNull
+import io.kotest.property.checkAll
+
+private val events = Arb.bind(Arb.long(1L..6L), Arb.long(1L..4L).orNull(0.5)) { number, version ->
+    SampleEvent(number, "piece $number", version)
+}
+
+class TranscriptTest :
+    DescribeSpec({
+        fun feed(all: List<SampleEvent>, min: Long, single: Boolean) =
+            all.fold(Transcript().resumedUnder(2)) { text, event ->
+                (text.add(event, min, single) as? Added.Grown)?.transcript ?: text
+            }
+
+        it("holds events 1 to n in order, each once, whatever arrives") {
+            checkAll(Arb.list(events, 0..30)) { all ->
+                val text = feed(all, min = 0, single = false)
+                text.pieces shouldBe (1..text.last).map { "piece $it" }
+            }
+        }
+        it("names every version that made an event, and none below the bound") {
+            checkAll(Arb.list(events, 0..30), Arb.int(0..3)) { all, min ->
+                feed(all, min.toLong(), single = false).versions.all { it >= min } shouldBe true
+            }
+        }
+        it("names one version where only one is allowed") {
+            checkAll(Arb.list(events, 0..30)) { all ->
+                (feed(all, min = 0, single = true).versions.size <= 1) shouldBe true
+            }
+        }
+        it("says why it does not take an event") {
+            val one = Transcript().resumedUnder(3).add(SampleEvent(1, "a"), 3, false)
+            val text = one.shouldBeInstanceOf<Added.Grown>().transcript
+            text.add(SampleEvent(3, "c"), 3, false) shouldBe Added.Rejected(EventFault.OUT_OF_ORDER)
+            text.resumedUnder(2).add(SampleEvent(2, "b"), 3, false) shouldBe Added.Rejected(EventFault.TOO_OLD)
+            text.add(SampleEvent(2, "b", version = 4), 3, true) shouldBe Added.Rejected(EventFault.MIXED)
+        }
+        it("joins the data of events with line feeds") {
+            feed(listOf(SampleEvent(1, "a"), SampleEvent(2, "b")), 0, false).text shouldBe "a\nb"
+        }
+    })
--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/WaitingItemTest.kt
@@ -0,0 +1,52 @@
+package dev.vanillarun.core.job
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+
+private fun item(name: String, group: String, expected: Long) =
+    JobItem(ItemId(name), path = "/", group = group, expectedTokens = expected)
+
+private fun job(desired: Int, vararg items: JobItem) = Job(
+    JobId("j"),
+    customer = null,
+    host = "h",
+    path = "/",
+    submittedAt = 0,
+    desiredGroups = desired,
+    items = items.toList(),
+)
+
+private fun waiting(item: JobItem, due: Long = 0, begun: Boolean = false, rank: Int = 0) =
+    WaitingItem(JobId("j"), item, due, priority = 0, begun = begun, groupRank = rank)
+
+class WaitingItemTest :
+    DescribeSpec({
+        describe("a step of which nine groups in ten are waited for") {
+            val groups = (1..10).map { item("i$it", "g$it", expected = it * 10L) }
+            it("leaves the longest group for last and begins with the longest of the others") {
+                val ranks = groupRanks(job(9, *groups.toTypedArray()))
+                ranks.getValue("g10") shouldBe 9
+                ranks.getValue("g9") shouldBe 0
+                ranks.getValue("g1") shouldBe 8
+            }
+            it("runs groups that return from an earlier step before all others") {
+                groupRanks(job(9, *groups.toTypedArray()), returned = setOf("g10")).getValue("g10") shouldBe 0
+            }
+            it("ranks a group by its longest item") {
+                val ranks = groupRanks(job(1, item("a", "x", 5), item("b", "x", 90), item("c", "y", 50)))
+                ranks.getValue("y") shouldBe 0
+            }
+        }
+        describe("items of several jobs") {
+            it("go by due time, then begun ones, then rank, then length") {
+                val late = waiting(item("late", "g", 1), due = 9)
+                val begun = waiting(item("begun", "g", 1), begun = true, rank = 5)
+                val first = waiting(item("first", "g", 1), rank = 0)
+                val long = waiting(item("long", "g", 7), rank = 1)
+                val short = waiting(item("short", "g", 2), rank = 1)
+                listOf(late, short, long, first, begun).sortedWith(ItemOrder)
+                    .shouldContainExactly(begun, first, long, short, late)
+            }
+        }
+    })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -37,6 +37,7 @@
 import dev.vanillarun.hosted.job.RunnerInputs
 import dev.vanillarun.hosted.job.SampleRun
 import dev.vanillarun.hosted.job.SlotMembership
+import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.store.DurableAppender
@@ -79,11 +80,13 @@
 
     private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer)
     private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer)
+    private val crashAppender = DurableAppender(ports.store, CrashBoard.Topic, writer)
     private val placementAppender = DurableAppender(ports.store, PlacementBoard.Topic, writer)
 
     private val book = TargetBook(clock)
     private val gateway = TargetGateway(ports.client, ports.targets, book)
-    private val live = LiveForwarder(ReplicaChooser(replicas, book, clock), gateway, book, clock, events)
+    private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
+    private val live = LiveForwarder(ReplicaChooser(replicas, book, clock), gateway, book, crashes, clock, events)
     private val window = settings.hosting.usageWindowS.seconds
     private val meter = UsageMeter(usageAppender, window, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events)
@@ -171,10 +174,16 @@
     }
 
     private fun launchAll() {
-        listOf(catalog.follower, replicas.follower, board.follower, placement.follower, usageBoard.follower).forEach {
-            scope.launch { it.run() }
-        }
-        listOf(jobAppender, usageAppender, placementAppender).forEach { scope.launch { it.run() } }
+        listOf(
+            catalog.follower,
+            replicas.follower,
+            board.follower,
+            placement.follower,
+            usageBoard.follower,
+            crashes.follower,
+        )
+            .forEach { scope.launch { it.run() } }
+        listOf(jobAppender, usageAppender, placementAppender, crashAppender).forEach { scope.launch { it.run() } }
         scope.launch { replicas.run() }
         scope.launch { replicas.replicas.collect { book.retain(it.values) } }
         scope.launch { meter.run() }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
@@ -123,15 +123,25 @@
     /** Orders [version] and waits until [engine] says that it serves it. */
     private suspend fun ordered(engine: Replica, model: String, version: WeightVersion): Boolean {
         val report = calls.report(engine) ?: return false
-        if (serves(report, engine, model, version)) return true
-        if (!report.busy && !give(engine, model, version, report)) return false
+        return when {
+            serves(report, engine, model, version) -> true
+            !report.busy && !give(engine, model, version, report) -> false
+            else -> awaitLoad(engine, model, version, report)
+        }
+    }
+
+    private suspend fun awaitLoad(
+        engine: Replica,
+        model: String,
+        version: WeightVersion,
+        before: EngineReport,
+    ): Boolean {
         val until = clock.now() + LOAD_TIMEOUT
         while (clock.now() < until) {
             delay(REPORT_PAUSE)
-            if (inputs.book.weights(engine, model) >= version.number) return true
-            val next = calls.report(engine) ?: continue
-            if (serves(next, engine, model, version)) return true
-            if (!next.busy && next.acceptedOrders == report.acceptedOrders) return false
+            val next = calls.report(engine)
+            if (next != null && serves(next, engine, model, version)) return true
+            if (next != null && !next.busy && next.acceptedOrders == before.acceptedOrders) return false
         }
         return false
     }
@@ -176,7 +186,7 @@
         /** Longest call of an order; has to fit into what is left of the lease. */
         val ORDER_TIME = 600.milliseconds
 
-        /** Engines that load at a time without slowing each other down, as the operators state for the fleets of today. */
+        /** Engines that load at a time without slowing each other down, as the operators state for today's fleets. */
         const val MOST_LOADING = 2
 
         /** On larger fleets one of so many engines may load at a time. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.catalog.KeyVerdict
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.authorize
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -81,24 +82,30 @@
         )
     }
 
-    private suspend fun reply(
+    private suspend fun reply(head: RequestHead, terms: CallTerms, body: ByteArray, received: Instant): Reply {
+        val known = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY)
+        return when (val asked = dialect.call(head)) {
+            is CallerCall.Malformed -> Reply(BAD_REQUEST, "malformed: ${asked.message}")
+            CallerCall.Request -> routed(known, head, terms, body, received)
+            else -> jobCall(asked, known, terms)
+        }
+    }
+
+    private suspend fun routed(
+        known: Catalog,
         head: RequestHead,
         terms: CallTerms,
         body: ByteArray,
-        received: dev.vanillarun.core.time.Instant,
+        received: Instant,
     ): Reply {
-        val known = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY)
-        val asked = dialect.call(head)
-        if (asked is CallerCall.Malformed) return Reply(BAD_REQUEST, "malformed: ${asked.message}")
-        if (asked != CallerCall.Request) return jobCall(asked, known, terms)
         val route = known.route(terms.host, head.path)
-        val customer = when (val verdict = known.authorize(route, terms.key)) {
-            is KeyVerdict.Allowed -> verdict.customer
-            KeyVerdict.Unknown -> return certain(Reply(UNAUTHORIZED, "the key is unknown"))
+        val verdict = known.authorize(route, terms.key)
+        return when {
+            verdict !is KeyVerdict.Allowed -> certain(Reply(UNAUTHORIZED, "the key is unknown"))
+            route == null -> certain(Reply(NOT_FOUND, "no route"))
+            route.kind == RequestKind.ROLLOUT -> jobs.submit(head, terms, route, verdict.customer, body)
+            else -> forward(head, terms, route, verdict.customer, body, received)
         }
-        if (route == null) return certain(Reply(NOT_FOUND, "no route"))
-        if (route.kind == RequestKind.ROLLOUT) return jobs.submit(head, terms, route, customer, body)
-        return forward(head, terms, route, customer, body, received)
     }
 
     private suspend fun jobCall(asked: CallerCall, known: Catalog, terms: CallTerms): Reply {
@@ -119,7 +126,7 @@
         route: CatalogRoute,
         customer: CatalogCustomer?,
         body: ByteArray,
-        received: dev.vanillarun.core.time.Instant,
+        received: Instant,
     ): Reply {
         val allowed = minOf(terms.timeLeft ?: Duration.INFINITE, route.timeout)
         val request = LiveRequest(
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.hosted.job
 
+import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.job.RewardCall
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
@@ -25,7 +26,7 @@
 /** Has samples scored by plain services. */
 internal class RewardCaller(
     private val catalog: CatalogSource,
-    private val forwarder: LiveForwarder,
+    private val live: LiveForwarder,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
@@ -34,33 +35,35 @@
         var errors = 0
         while (true) {
             val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
-            if (route != null) {
-                val now = clock.now()
-                val request = LiveRequest(
-                    id = call.id,
-                    method = "POST",
-                    uri = call.path,
-                    host = call.host,
-                    headers = Headers.Empty,
-                    body = Base64.getDecoder().decode(call.body),
-                    route = route,
-                    customer = null,
-                    received = now,
-                    deadline = now + route.timeout,
-                )
-                val outcome = forwarder.serve(request)
-                if (outcome is LiveOutcome.Whole) {
-                    val signature = outcome.signature
-                    if (outcome.status < FIRST_ERROR && signature != null) return Reward.Scored(signature)
-                    errors += outcome.serverErrors
-                    if (errors >= route.maxAttempts) return Reward.Exhausted
-                }
-                events.record("reward.retried", EventLinks(request = call.id), mapOf("errors" to "$errors"))
+            val outcome = route?.let { live.serve(request(call, it)) }
+            if (outcome is LiveOutcome.Whole) {
+                val signature = outcome.signature
+                if (outcome.status < FIRST_ERROR && signature != null) return Reward.Scored(signature)
+                errors += outcome.serverErrors
+                if (errors >= route.maxAttempts) return Reward.Exhausted
             }
+            val what = mapOf("errors" to "$errors", "route" to route?.name.orEmpty())
+            events.record("reward.retried", EventLinks(request = call.id), what)
             delay(PAUSE)
         }
     }
 
+    private fun request(call: RewardCall, route: CatalogRoute): LiveRequest {
+        val now = clock.now()
+        return LiveRequest(
+            id = call.id,
+            method = "POST",
+            uri = call.path,
+            host = call.host,
+            headers = Headers.Empty,
+            body = Base64.getDecoder().decode(call.body),
+            route = route,
+            customer = null,
+            received = now,
+            deadline = now + route.timeout,
+        )
+    }
+
     private companion object {
         const val FIRST_ERROR = 300
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
@@ -79,16 +79,13 @@
         private suspend fun events(answer: OpenedAnswer, activity: Activity): RunEnd {
             val splitter = EventSplitter()
             while (true) {
-                when (val part = answer.body.next()) {
-                    is BodyPart.End -> {
-                        val whole = part.clean && splitter.pending == 0 && transcript.last > 0
-                        return if (whole) RunEnd.Complete(transcript) else interrupted("the stream broke off")
-                    }
-
-                    is BodyPart.Bytes -> {
-                        activity.seen()
-                        splitter.feed(part.bytes).forEach { bytes -> take(bytes.decodeToString())?.let { return it } }
-                    }
+                val part = answer.body.next()
+                if (part is BodyPart.Bytes) {
+                    activity.seen()
+                    splitter.feed(part.bytes).firstNotNullOfOrNull { take(it.decodeToString()) }?.let { return it }
+                } else {
+                    val whole = part == BodyPart.End(clean = true) && splitter.pending == 0 && transcript.last > 0
+                    return if (whole) RunEnd.Complete(transcript) else interrupted("the stream broke off")
                 }
             }
         }
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
@@ -0,0 +1,85 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.log.CrashObservation
+import dev.vanillarun.core.quarantine.Clearance
+import dev.vanillarun.core.quarantine.CrashLedger
+import dev.vanillarun.core.quarantine.Fingerprint
+import dev.vanillarun.core.store.StoredTopicRecord
+import dev.vanillarun.core.store.TopicLog
+import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.store.TopicFollower
+import dev.vanillarun.hosted.store.TopicSink
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Requests during which targets broke off, as all instances have seen it.
+ *
+ * A request that breaks off at target after target and never completes is refused; its sender may come back through any
+ * instance, so observations are shared through the store.
+ */
+internal class CrashBoard(
+    log: TopicLog,
+    private val appender: DurableAppender,
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val events: EventRecorder,
+) : TopicSink {
+    private val ledger = AtomicReference(CrashLedger())
+
+    /** Reads the topic. */
+    val follower = TopicFollower(log, Topic, this, clock, events)
+
+    /** True if [request] is held to crash the targets that run it. */
+    fun isRefused(request: LiveRequest): Boolean =
+        ledger.get().clearance(request.fingerprint, clock.now()) == Clearance.REFUSED
+
+    /** Targets that [request] is held to have crashed. */
+    fun crashedTargets(request: LiveRequest): Set<TargetId> =
+        ledger.get().crashedTargets(request.fingerprint, clock.now())
+
+    /** [replica] broke off while it ran [request]. */
+    fun brokeOff(request: LiveRequest, replica: Replica) {
+        val seen = CrashObservation(request.fingerprint.hex, replica.id)
+        observe(seen)
+        val value = Json.encodeToString(CrashObservation.serializer(), seen).encodeToByteArray()
+        scope.launch { appender.keep(TopicRecord(key = "", value)) }
+        val what = mapOf("fingerprint" to seen.fingerprint, "target" to replica.id.value)
+        events.record("request.broke_off", EventLinks(request = request.id), what)
+    }
+
+    /** [request] was answered by a target. */
+    fun completed(request: LiveRequest) {
+        if (request.fingerprint !in ledger.get().suspicions) return
+        ledger.updateAndGet { it.completed(request.fingerprint, clock.now()) }
+    }
+
+    override fun restart(records: List<StoredTopicRecord>) = accept(records)
+
+    override fun accept(records: List<StoredTopicRecord>) = records.forEach { record ->
+        try {
+            record.value?.let { observe(Json.decodeFromString(CrashObservation.serializer(), it.decodeToString())) }
+        } catch (e: SerializationException) {
+            events.record("crash.ignored", EventLinks(offset = record.offset), mapOf("reason" to e.message.orEmpty()))
+        }
+    }
+
+    private fun observe(seen: CrashObservation) {
+        ledger.updateAndGet { it.observed(Fingerprint(seen.fingerprint), seen.target, clock.now()) }
+    }
+
+    companion object {
+        /** Topic of observations; its records expire. */
+        val Topic = TopicName("crashes", keyed = false)
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -29,6 +29,7 @@
     private val chooser: ReplicaChooser,
     private val gateway: TargetGateway,
     private val book: TargetBook,
+    private val crashes: CrashBoard,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
@@ -42,6 +43,7 @@
 
     /** Serves [request]. */
     suspend fun serve(request: LiveRequest): LiveOutcome {
+        if (crashes.isRefused(request)) return LiveOutcome.NotRun("the request broke off at several targets")
         if (request.repeatable && chooser.isFull(request.route)) return LiveOutcome.NotRun("all targets are full")
         return coroutineScope {
             val serving = Serving(request, this)
@@ -105,7 +107,7 @@
 
         private fun start() {
             if (mayHaveRun + underWay >= request.route.maxAttempts || tried.size >= MAX_SENDS) return
-            val replica = chooser.choose(request.route, tried) ?: return
+            val replica = chooser.choose(request.route, tried + crashes.crashedTargets(request)) ?: return
             tried += replica.id
             underWay++
             attempts += scope.launch { results.send(attempt(replica)) }
@@ -122,7 +124,11 @@
                 is Sent.Unknown -> Attempted.Unknown(sent.reason)
             }
             val elapsed = clock.now() - sentAt
-            if (result is Attempted.Answer) book.paced(replica, elapsed)
+            if (result is Attempted.Answer) {
+                book.paced(replica, elapsed)
+                crashes.completed(request)
+            }
+            if (sent is Sent.Unknown) crashes.brokeOff(request, replica)
             val what = mapOf(
                 "target" to replica.id.value,
                 "attempt" to "${tried.size}",
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.CatalogCustomer
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.hosted.target.OutgoingRequest
 import io.ktor.http.Headers
@@ -21,6 +22,9 @@
     /** When the caller, or the operator, wants it to be over. */
     val deadline: Instant,
 ) {
+    /** Stands for the content, whatever the identity of the request. */
+    val fingerprint: Fingerprint by lazy { Fingerprint.of(method, uri, body) }
+
     /** True if running twice does no harm. */
     val repeatable: Boolean get() = route.kind == RequestKind.IDEMPOTENT
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
@@ -80,24 +80,25 @@
         var doubt = false
         var failures = 0
         while (batch.isNotEmpty()) {
-            when (val tried = log.append(topic, batch.map { it.record }, AppendIdentity(producer, sequence))) {
-                TopicAppend.Done -> {
-                    sequence++
-                    batch.forEach { it.outcome.complete(tried) }
-                    return
-                }
-
-                is TopicAppend.InDoubt -> doubt = true
-
-                is TopicAppend.Refused -> if (!doubt) {
-                    batch.filter { it.refusable }.forEach { it.outcome.complete(tried) }
-                    batch = batch.filterNot { it.refusable }
-                }
+            val tried = log.append(topic, batch.map { it.record }, AppendIdentity(producer, sequence))
+            if (tried == TopicAppend.Done) {
+                sequence++
+                batch.forEach { it.outcome.complete(tried) }
+                return
             }
+            doubt = doubt || tried is TopicAppend.InDoubt
+            if (!doubt) batch = batch.giveUp(tried)
             delay(backoff.pause(failures++))
         }
     }
 
+    /** Tells those that can be told that their record will never stand; returns the others. */
+    private fun List<Entry>.giveUp(refusal: TopicAppend): List<Entry> {
+        val (refused, kept) = partition { it.refusable }
+        refused.forEach { it.outcome.complete(refusal) }
+        return kept
+    }
+
     private val TopicRecord.size: Int get() = key.length + (value?.size ?: 0) + RECORD_OVERHEAD
 
     private companion object {
