--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
@@ -0,0 +1,120 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.id.CustomerId
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.ItemResult
+import dev.vanillarun.core.job.ItemState
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
+import dev.vanillarun.core.job.JobRecord
+import dev.vanillarun.core.job.JobRecordCodec
+import dev.vanillarun.core.time.SystemClock
+import dev.vanillarun.core.timeline.NoEvents
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.fake.ManualClock
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val id = JobId("j")
+private val job = Job(
+    id = id,
+    customer = CustomerId("a"),
+    host = "h",
+    path = "/p/",
+    submittedAt = 0,
+    items = (1..3).map { JobItem(ItemId("i$it"), path = "/p/$it") },
+)
+
+private suspend fun FakeTopicLog.write(record: JobRecord, writer: String = "w") =
+    append(JobBoard.Topic, listOf(JobRecordCodec.encode(record, writer)))
+
+private fun finished(item: Int, text: String = "text $item") =
+    JobRecord.Finished(id, ItemResult(ItemId("i$item"), ItemState.COMPLETED, text))
+
+class JobBoardTest :
+    DescribeSpec({
+        suspend fun following(log: FakeTopicLog, use: suspend (JobBoard) -> Unit): Unit = coroutineScope {
+            val board = JobBoard(log, SystemClock, NoEvents)
+            launch { board.follower.run() }
+            use(board)
+            coroutineContext.cancelChildren()
+        }
+
+        describe("an instance that did not take the job itself") {
+            it("finds it as soon as the store has it") {
+                val log = FakeTopicLog()
+                following(log) { board ->
+                    board.follower.state.first { it.ready }
+                    log.write(JobRecord.Submitted(job))
+                    board.find(id).shouldBeInstanceOf<Lookup.Found<*>>()
+                }
+            }
+            it("says that a job does not exist only if the store says so") {
+                val log = FakeTopicLog()
+                following(log) { board ->
+                    board.find(id) shouldBe Lookup.Absent
+                    log.up = false
+                    board.find(id) shouldBe Lookup.Unsure
+                }
+            }
+            it("waits for a result, and says how far it has read") {
+                val log = FakeTopicLog()
+                log.write(JobRecord.Submitted(job))
+                following(log) { board ->
+                    coroutineScope {
+                        val read = async { board.results(id, after = 0, wait = 5.seconds) }
+                        log.write(finished(2))
+                        val page = read.await().shouldBeInstanceOf<Lookup.Found<ResultPage>>().value
+                        page.results.map { it.item.value } shouldBe listOf("i2")
+                        page.next shouldBe 1
+                        page.total shouldBe 3
+                    }
+                }
+            }
+        }
+        describe("a view that is cut off from the store") {
+            it("lists what it has and does not claim that there is no more") {
+                val log = FakeTopicLog()
+                val clock = ManualClock()
+                log.write(JobRecord.Submitted(job))
+                log.write(finished(1))
+                coroutineScope {
+                    val board = JobBoard(log, clock, NoEvents)
+                    launch { board.follower.run() }
+                    board.table.first { it.jobs[id]?.results?.size == 1 }
+                    log.up = false
+                    board.follower.state.first { it.lostAt != null }
+                    clock.advance(2.seconds)
+                    board.results(id, after = 0, wait = Duration.ZERO).shouldBeInstanceOf<Lookup.Found<ResultPage>>()
+                    board.results(id, after = 1, wait = 1.milliseconds) shouldBe Lookup.Unsure
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
+        describe("an instance that starts after the history was dropped") {
+            it("lists the same results at the same positions") {
+                val log = FakeTopicLog()
+                log.write(JobRecord.Submitted(job))
+                log.write(finished(3))
+                log.write(finished(1, "first run"), writer = "w1")
+                log.write(JobRecord.Submitted(job.copy(submittedAt = 9)))
+                log.write(finished(1, "second run"), writer = "w2")
+                log.expire(JobBoard.Topic, 4)
+                following(log) { board ->
+                    val page = board.results(id, after = 0, wait = Duration.ZERO)
+                    page.shouldBeInstanceOf<Lookup.Found<ResultPage>>().value.results.map { it.text } shouldBe
+                        listOf("text 3", "first run")
+                }
+            }
+        }
+    })
