Reset connections that are given up, and remember targets that stayed silent

The client of the JDK cannot reset, so targets and store are now spoken to through Netty's codec, with a pool of our own.

--- /dev/null
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -0,0 +1,125 @@
+package dev.vanillarun.daemon.target
+
+import io.ktor.http.HttpHeaders
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.URI
+import java.util.concurrent.TimeUnit
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * [TargetClient] over Netty, which keeps connections open between exchanges and resets those that it gives up.
+ *
+ * A connection that is closed in the usual way still delivers what the network holds up, for instance behind a
+ * partition: a target would run the request seconds after it was given up. A reset drops these bytes. Neither the
+ * client of the JDK nor Ktor's can reset a connection.
+ */
+public class NettyTargetClient(private val connectTimeout: Duration = 1.seconds, threads: Int = 1) : TargetClient {
+    private val group = NioEventLoopGroup(threads)
+    private val pool = ConnectionPool()
+    private val bootstrap = Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
+        .handler(
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    channel.pipeline().addLast(ExchangeHandler())
+                }
+            },
+        )
+
+    override suspend fun <T> exchange(request: TargetRequest, handle: suspend (TargetAnswer) -> T): Exchange<T> {
+        val uri = URI.create(request.url)
+        val address = "${uri.host}:${uri.port}"
+        val channel = pool.take(address) ?: when (val connected = connect(uri)) {
+            is Connected.Open -> connected.channel
+            is Connected.Failed -> return Exchange.NotSent(connected.reason)
+        }
+        val exchange = NettyExchange(channel)
+        var reusable = false
+        try {
+            exchange.begin(message(request, uri))
+            val head = when (val began = exchange.head()) {
+                is HeadRead.Began -> began
+                is HeadRead.Broken -> return Exchange.Broken(began.reason)
+            }
+            val value = handle(TargetAnswer(head.status, head.headers, exchange))
+            reusable = exchange.isReusable
+            return Exchange.Answered(value)
+        } finally {
+            if (reusable) pool.put(address, channel, exchange.idleTimeout) else channel.reset()
+        }
+    }
+
+    private sealed interface Connected {
+        class Open(val channel: Channel) : Connected
+
+        class Failed(val reason: String) : Connected
+    }
+
+    private suspend fun connect(uri: URI): Connected = suspendCancellableCoroutine { waiting ->
+        val connecting = bootstrap.connect(uri.host, uri.port)
+        connecting.addListener {
+            val cause = connecting.cause()
+            val outcome = when {
+                cause != null -> Connected.Failed("${cause::class.simpleName}: ${cause.message.orEmpty()}")
+                else -> Connected.Open(connecting.channel())
+            }
+            if (waiting.isActive) waiting.resume(outcome) else connecting.channel().reset()
+        }
+        waiting.invokeOnCancellation { connecting.channel().reset() }
+    }
+
+    private fun message(request: TargetRequest, uri: URI): FullHttpRequest {
+        val path = request.url.substringAfter("://").let { it.substring(it.indexOf('/').coerceAtLeast(0)) }
+        val message = DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(request.method),
+            path,
+            Unpooled.wrappedBuffer(request.body),
+        )
+        request.headers.forEach { name, values -> message.headers().add(name, values) }
+        request.contentType?.let { message.headers().set(HttpHeaders.ContentType, it.toString()) }
+        if (HttpHeaderNames.HOST !in message.headers()) message.headers().set(HttpHeaderNames.HOST, uri.authority)
+        if (request.body.isNotEmpty() || request.method != "GET") {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        }
+        return message
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val MAX_LINE_BYTES = 8 * 1024
+        const val MAX_HEADER_BYTES = 64 * 1024
+        const val MAX_CHUNK_BYTES = 64 * 1024
+    }
+}
+
+/** Closes the connection so that nothing that it still holds is delivered. */
+internal fun Channel.reset() {
+    if (isOpen) {
+        config().setOption(ChannelOption.SO_LINGER, 0)
+        close()
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -12,6 +13,7 @@
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.readWhole
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -41,6 +43,8 @@
         class Unknown(val reason: String) : Attempted
     }
 
+    private class UnderWay(val replica: Replica, val since: Instant, val work: Job)
+
     /** Serves [request]. */
     suspend fun serve(request: LiveRequest): LiveOutcome {
         if (crashes.isRefused(request)) return LiveOutcome.NotRun("the request broke off at several targets")
@@ -57,7 +61,7 @@
 
     private inner class Serving(private val request: LiveRequest, private val scope: CoroutineScope) {
         private val results = Channel<Attempted>(Channel.UNLIMITED)
-        private val attempts = mutableListOf<kotlinx.coroutines.Job>()
+        private val attempts = mutableListOf<UnderWay>()
         private val tried = mutableSetOf<TargetId>()
         private var underWay = 0
         private var mayHaveRun = 0
@@ -110,10 +114,16 @@
             val replica = chooser.choose(request.route, tried + crashes.crashedTargets(request)) ?: return
             tried += replica.id
             underWay++
-            attempts += scope.launch { results.send(attempt(replica)) }
+            attempts += UnderWay(replica, clock.now(), scope.launch { results.send(attempt(replica)) })
         }
 
-        fun stop() = attempts.forEach { it.cancel() }
+        /** Ends what is under way; a target that has been silent for long is passed over for a while. */
+        fun stop() {
+            attempts.filter { it.work.isActive }.forEach {
+                it.work.cancel()
+                if (clock.now() - it.since >= request.route.objective) book.failed(it.replica)
+            }
+        }
 
         private suspend fun attempt(replica: Replica): Attempted {
             val sentAt = clock.now()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -64,7 +64,7 @@
         try {
             val exchange = client.exchange(outgoing) { answer ->
                 val head = dialect.head(answer.status, answer.headers)
-                checked(request, replica, head) { handle(OpenedAnswer(head, answer.headers, answer.body)) }
+                checked(request, replica, OpenedAnswer(head, answer.headers, answer.body), handle)
             }
             return settled(exchange, replica)
         } finally {
@@ -75,14 +75,16 @@
     private suspend fun <T> checked(
         request: OutgoingRequest,
         replica: Replica,
-        head: AnswerHead,
-        handle: suspend () -> T,
+        answer: OpenedAnswer,
+        handle: suspend (OpenedAnswer) -> T,
     ): Sent<T> {
+        val head = answer.head
         if (head.status == MISDIRECTED) return Sent.NotRun("another target answers", wrongTarget = true)
         if (head.requestId != request.id) return Sent.Unknown("an answer to another request")
         book.answered(replica, head)
-        if (head.notRun) return Sent.NotRun("the target refused with ${head.status}", wrongTarget = false)
-        return Sent.Answered(handle())
+        if (!head.notRun) return Sent.Answered(handle(answer))
+        answer.body.readWhole(MAX_REFUSAL_BYTES)
+        return Sent.NotRun("the target refused with ${head.status}", wrongTarget = false)
     }
 
     private fun <T> settled(exchange: Exchange<Sent<T>>, replica: Replica): Sent<T> = when (exchange) {
@@ -99,6 +101,9 @@
     private companion object {
         /** Status of an answer by another target than the one that was meant. */
         const val MISDIRECTED = 421
+
+        /** Body of a refusal that is read so that its connection can be used again. */
+        const val MAX_REFUSAL_BYTES = 64 * 1024
     }
 }
 
