--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/EngineLoad.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/EngineLoad.kt
@@ -33,6 +33,14 @@
     )
 }
 
+/** The engine with a free slot that a run at [here] should move to because it is much faster, or null. */
+public fun fasterEngine(here: EngineLoad, engines: List<EngineLoad>): EngineLoad? {
+    val pace = here.pace ?: return null
+    val others = engines.filter { it.id != here.id && it.placed && it.pace != null }
+    val best = chooseEngine(others) ?: return null
+    return best.takeIf { pace > (best.pace ?: pace) * WORTH_A_MOVE }
+}
+
 private fun EngineLoad.expectedPace(median: Duration?): Double {
     val known = pace ?: median ?: return running.toDouble() / slots
     return known.inWholeMicroseconds * (1 + CROWDING * running)
@@ -40,3 +48,6 @@
 
 /** Part by which one more request in a batch slows the others: 0.0252 of 0.723 ms a step on the engines served. */
 private const val CROWDING = 0.035
+
+/** Ratio of paces from which on reading the prompt again at another engine costs less than staying. */
+private const val WORTH_A_MOVE = 2.2
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/placement/ModelPlacementTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/placement/ModelPlacementTest.kt
@@ -79,6 +79,14 @@
                 chooseEngine(listOf(load("own", 7, 60), load("other", 0, 20, placed = false)))?.id shouldBe
                     TargetId("own")
             }
+            it("moves a run away from an engine that has turned slow, to one with room") {
+                val slow = load("slow", 4, 120)
+                fasterEngine(slow, listOf(slow, load("fast", 3, 30)))?.id shouldBe TargetId("fast")
+                fasterEngine(slow, listOf(slow, load("fast", 8, 30))) shouldBe null
+                fasterEngine(slow, listOf(slow, load("near", 0, 70))) shouldBe null
+                fasterEngine(slow, listOf(slow, load("unknown", 0, null))) shouldBe null
+                fasterEngine(slow, listOf(slow, load("other", 0, 30, placed = false))) shouldBe null
+            }
             it("finds none when all are full") {
                 chooseEngine(listOf(load("a", 8, 30))) shouldBe null
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -22,6 +22,7 @@
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.duty.ControlDuty
 import dev.vanillarun.hosted.duty.LoadInputs
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.duty.UsageBoard
@@ -75,7 +76,6 @@
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
     private val board = JobBoard(ports.store, clock, events)
-    private val placement = PlacementBoard(ports.store, clock, events)
     private val usageBoard = UsageBoard(ports.store, clock, events)
 
     private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer)
@@ -84,6 +84,7 @@
     private val placementAppender = DurableAppender(ports.store, PlacementBoard.Topic, writer)
 
     private val book = TargetBook(clock)
+    private val placement = PlacementBoard(ports.store, book, clock, events)
     private val gateway = TargetGateway(ports.client, ports.targets, book)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(ReplicaChooser(replicas, book, clock), gateway, book, crashes, clock, events)
@@ -94,14 +95,19 @@
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
     private val leaseAppender = LogAppender(leaseLog, clock)
     private val leases = LogFollower(leaseLog, setOf(StreamName.Duty), LeaseReducer, clock = clock, wait = LEASE_POLL)
-    private val duty = DutyRunner(
-        duty = DutyName("control"),
-        follower = leases,
-        appender = leaseAppender,
-        writer = RecordWriter(self, incarnation),
-        timing = LeaseTiming(term = settings.hosting.leaseMs.milliseconds, lateEffect = LATE_EFFECT),
+    private val noTurns = settings.hosting.leaseMs.milliseconds
+    private val duty = ControlDuty(
+        runner = DutyRunner(
+            duty = DutyName("control"),
+            follower = leases,
+            appender = leaseAppender,
+            writer = RecordWriter(self, incarnation),
+            timing = LeaseTiming(term = noTurns * LEASE_PART, lateEffect = LATE_EFFECT),
+            clock = clock,
+            events = events,
+        ),
+        noTurns = noTurns,
         clock = clock,
-        events = events,
     )
 
     private val runner = JobRunner(
@@ -205,9 +211,7 @@
         targets = replicas.replicas.value.values.map {
             TargetStatus(it.id.value, book.of(it).running, ejected = !book.usable(it), leaving = it.leaving)
         },
-        duties = listOfNotNull(
-            duty.state.value.takeIf { it.mayAct(clock.now()) }?.term?.let { HeldDuty(duty.duty.value, it.value) },
-        ),
+        duties = listOfNotNull(duty.heldTerm?.let { HeldDuty(duty.name, it.value) }),
     )
 
     /**
@@ -222,9 +226,10 @@
         withTimeoutOrNull(grace) {
             launch { duty.stop(HAND_OVER) }
             launch { slots.leave() }
+            runner.stopTaking()
             delay(minOf(NOTICE, grace / 2))
             var seen = -1L
-            while (calls.inProgress > 0 || calls.arrivals != seen) {
+            while (calls.inProgress > 0 || calls.arrivals != seen || runner.inProgress > 0) {
                 seen = calls.arrivals
                 delay(QUIET)
             }
@@ -239,6 +244,9 @@
         /** Time that the store may hold a read of leases; bounds how late a holder notices its renewal. */
         val LEASE_POLL = 1.seconds
 
+        /** Term of the lease; a successor waits a little longer than this part of the time without turns. */
+        const val LEASE_PART = 0.66
+
         /** Time after which an order that was given up on has taken effect, if it does. */
         val LATE_EFFECT = 500.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/PlacementBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/PlacementBoard.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.duty
 
 import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.placement.ModelPlacement
 import dev.vanillarun.core.store.StoredTopicRecord
 import dev.vanillarun.core.store.TopicLog
@@ -11,15 +12,40 @@
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
+import dev.vanillarun.hosted.target.TargetBook
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
-/** The placement of models on engines, as the holder of the control duty has published it. */
-internal class PlacementBoard(log: TopicLog, clock: MonotonicClock, private val events: EventRecorder) : TopicSink {
+/** Weights that an engine has loaded. */
+@Serializable
+internal data class LoadedWeights(
+    /** Engine. */
+    val engine: TargetId,
+    /** Start of its process, Unix milliseconds. */
+    val startedAt: Long,
+    /** Model. */
+    val model: String,
+    /** Version. */
+    val version: WeightVersion,
+)
+
+/**
+ * What the holder of the control duty has published: the placement of models on engines, and loads of weights.
+ *
+ * An engine's own announcement tells of a load only with its next heartbeat.
+ */
+internal class PlacementBoard(
+    log: TopicLog,
+    private val book: TargetBook,
+    clock: MonotonicClock,
+    private val events: EventRecorder,
+) : TopicSink {
     private val current = MutableStateFlow(ModelPlacement())
+    private val loads = MutableStateFlow(0L)
 
     /** Reads the topic. */
     val follower = TopicFollower(log, Topic, this, clock, events)
@@ -27,21 +53,34 @@
     /** Placement in force. */
     val placement: StateFlow<ModelPlacement> = current.asStateFlow()
 
+    /** Changes with each load that was published. */
+    val loaded: StateFlow<Long> = loads.asStateFlow()
+
     override fun restart(records: List<StoredTopicRecord>) = accept(records)
 
-    override fun accept(records: List<StoredTopicRecord>) {
-        val newest = records.lastOrNull { it.key == KEY }?.value ?: return
+    override fun accept(records: List<StoredTopicRecord>) = records.forEach { record ->
         try {
-            val models: Map<String, String> = Json.decodeFromString(newest.decodeToString())
-            current.value = ModelPlacement(models.mapKeys { TargetId(it.key) })
-            events.record("placement.applied", EventLinks(offset = records.last().offset), models)
+            record.value?.decodeToString()?.let { take(record, it) }
         } catch (e: SerializationException) {
-            events.record("placement.ignored", EventLinks(), mapOf("reason" to e.message.orEmpty()))
+            val what = mapOf("key" to record.key, "reason" to e.message.orEmpty())
+            events.record("placement.ignored", EventLinks(offset = record.offset), what)
+        }
+    }
+
+    private fun take(record: StoredTopicRecord, text: String) {
+        if (record.key == MODELS) {
+            val models: Map<String, String> = Json.decodeFromString(text)
+            current.value = ModelPlacement(models.mapKeys { TargetId(it.key) })
+            events.record("placement.applied", EventLinks(offset = record.offset), models)
+        } else {
+            val seen = Json.decodeFromString(LoadedWeights.serializer(), text)
+            book.serves(seen.engine, seen.startedAt, seen.model, seen.version)
+            loads.value++
         }
     }
 
     companion object {
-        private const val KEY = "models"
+        private const val MODELS = "models"
 
         /** Topic of the placement. */
         val Topic = TopicName("placement", keyed = true)
@@ -49,7 +88,13 @@
         /** The record that publishes [placement]. */
         fun record(placement: ModelPlacement): TopicRecord {
             val models = placement.models.entries.associate { (engine, model) -> engine.value to model }
-            return TopicRecord(KEY, Json.encodeToString(models).encodeToByteArray())
+            return TopicRecord(MODELS, Json.encodeToString(models).encodeToByteArray())
         }
+
+        /** The record that publishes [loaded]. */
+        fun record(loaded: LoadedWeights): TopicRecord = TopicRecord(
+            "loaded/${loaded.engine}/${loaded.model}",
+            Json.encodeToString(LoadedWeights.serializer(), loaded).encodeToByteArray(),
+        )
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageReporter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageReporter.kt
@@ -10,7 +10,6 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
-import dev.vanillarun.daemon.agreement.DutyRunner
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
@@ -66,7 +65,7 @@
  * The figures of a window are fixed in the store before they are reported, so a successor reports the same.
  */
 internal class UsageReporter(
-    private val duty: DutyRunner,
+    private val duty: ControlDuty,
     private val calls: HostingCalls,
     private val board: UsageBoard,
     private val appender: DurableAppender,
@@ -81,7 +80,7 @@
         while (true) {
             delay(TICK)
             val current = board.follower.age(clock.now())?.let { it < CURRENT } ?: false
-            if (current && duty.state.value.mayAct(clock.now(), CALL_TIME)) act()
+            if (current && duty.mayAct(CALL_TIME)) act()
         }
     }
 
@@ -99,17 +98,14 @@
     private suspend fun close(number: Long) {
         val counted = board.ledger.value.windows[number]?.counted.orEmpty()
         withTimeoutOrNull(CALL_TIME) { appender.keep(usageRecord(UsageRecord.Closed(number, counted))) }
-        events.record("usage.closed", EventLinks(duty = duty.duty.value), mapOf("window" to "$number"))
+        events.record("usage.closed", EventLinks(duty = duty.name), mapOf("window" to "$number"))
     }
 
     private suspend fun report(number: Long) {
         val figures = board.ledger.value.windows[number]?.closed ?: return
-        val result = duty.performBeside(CALL_TIME) { term, guard ->
-            val authority = Authority(self, term)
-            if (guard.permits()) calls.reportUsage(number, figures, authority) else PlatformResult.Withheld
-        }
+        val result = duty.perform(CALL_TIME) { term -> calls.reportUsage(number, figures, Authority(self, term)) }
         val what = mapOf("window" to "$number", "requests" to "${figures.values.sum()}", "result" to "$result")
-        events.record("usage.reported", EventLinks(duty = duty.duty.value), what)
+        events.record("usage.reported", EventLinks(duty = duty.name), what)
         if (result is PlatformResult.Answered) {
             withTimeoutOrNull(CALL_TIME) { appender.keep(usageRecord(UsageRecord.Reported(number))) }
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
@@ -15,7 +15,6 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
-import dev.vanillarun.daemon.agreement.DutyRunner
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.store.DurableAppender
@@ -43,7 +42,7 @@
  * answer was lost may be carried out seconds later; the next one is sent only on the ground of a newer state.
  */
 internal class WeightLoads(
-    private val duty: DutyRunner,
+    private val duty: ControlDuty,
     private val calls: HostingCalls,
     private val inputs: LoadInputs,
     private val placements: DurableAppender,
@@ -59,7 +58,7 @@
     /** Acts until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = coroutineScope {
         while (true) {
-            if (duty.state.value.mayAct(clock.now(), ORDER_TIME)) act(this)
+            if (duty.mayAct(ORDER_TIME)) act(this)
             delay(TICK)
         }
         @Suppress("UNREACHABLE_CODE")
@@ -115,11 +114,18 @@
             loads[engine.id] = if (loaded) Load(since) else Load(since, failed + 1, clock.now())
             val took = "${(clock.now() - since).inWholeMilliseconds}"
             note(if (loaded) "weights.loaded" else "weights.failed", engine, model, version, "elapsed_ms" to took)
+            if (loaded) publish(engine, model)
         } finally {
             underWay.remove(engine.id)
         }
     }
 
+    private suspend fun publish(engine: Replica, model: String) {
+        val version = WeightVersion(inputs.book.weights(engine, model))
+        val loaded = LoadedWeights(engine.id, engine.startedAt, model, version)
+        placements.offer(PlacementBoard.record(loaded), PUBLISH_TIME)
+    }
+
     /** Orders [version] and waits until [engine] says that it serves it. */
     private suspend fun ordered(engine: Replica, model: String, version: WeightVersion): Boolean {
         val report = calls.report(engine) ?: return false
@@ -137,6 +143,7 @@
         before: EngineReport,
     ): Boolean {
         val until = clock.now() + LOAD_TIMEOUT
+        delay(SHORTEST_LOAD)
         while (clock.now() < until) {
             delay(REPORT_PAUSE)
             val next = calls.report(engine)
@@ -158,9 +165,7 @@
         }
         val runs = if (single) RunsMeanwhile.FINISH else RunsMeanwhile.GO_ON
         val order = LoadOrder(model, version, runs, report.acceptedOrders)
-        val answer = duty.performBeside(ORDER_TIME) { term, guard ->
-            if (guard.permits()) calls.order(engine, order, Authority(self, term)) else PlatformResult.Withheld
-        }
+        val answer = duty.perform(ORDER_TIME) { term -> calls.order(engine, order, Authority(self, term)) }
         note("weights.ordered", engine, model, version, "based_on" to "${order.basedOn}", "answer" to "$answer")
         return when (answer) {
             is PlatformResult.Answered -> answer.value == OrderAnswer.ACCEPTED || answer.value == OrderAnswer.HOLDS
@@ -177,7 +182,7 @@
         vararg more: Pair<String, String>,
     ) {
         val what = mapOf("target" to engine.id.value, "model" to model, "version" to "${version.number}") + more
-        events.record(name, EventLinks(duty = duty.duty.value), what)
+        events.record(name, EventLinks(duty = duty.name), what)
     }
 
     private companion object {
@@ -194,7 +199,13 @@
         val LOAD_TIMEOUT = 5.seconds
         val RETRY_PAUSE = 300.milliseconds
 
-        /** Pause between two questions to an engine that loads; a load takes about 0.9 s and a report lags by 0.2 s. */
-        val REPORT_PAUSE = 500.milliseconds
+        /** Part of a load of about 0.9 s in which it is not worth asking whether it has ended. */
+        val SHORTEST_LOAD = 750.milliseconds
+
+        /** Pause between two questions to an engine that loads; each has its price. */
+        val REPORT_PAUSE = 200.milliseconds
+
+        /** Time for publishing a load; the engine's own heartbeat tells of it soon after. */
+        val PUBLISH_TIME = 1.seconds
     }
 }
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineView.kt
@@ -0,0 +1,48 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.placement.EngineLoad
+import dev.vanillarun.core.placement.chooseEngine
+import dev.vanillarun.core.placement.fasterEngine
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.target.TargetBook
+
+/** The engines as the runner of a model sees them. */
+internal class EngineView(
+    private val replicas: ReplicaSource,
+    private val book: TargetBook,
+    private val placement: PlacementBoard,
+) {
+    /** The engine for [task], or null while none has room; [running] counts the runs at each. */
+    fun choose(task: SampleTask, running: Map<TargetId, Int>): Replica? {
+        val engines = enginesFor(task)
+        val chosen = chooseEngine(engines.map { load(it, task, running) }) ?: return null
+        return engines.first { it.id == chosen.id }
+    }
+
+    /** The engine that a run of [task] at [engine] should move to, or null. */
+    fun faster(task: SampleTask, engine: TargetId, running: Map<TargetId, Int>): TargetId? {
+        val loads = enginesFor(task).map { load(it, task, running) }
+        return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
+    }
+
+    private fun enginesFor(task: SampleTask): List<Replica> {
+        val model = task.job.model
+        return task.route.services.flatMap { replicas.of(it.service) }
+            .filter { model.isEmpty() || book.weights(it, model) >= task.job.minVersion }
+            .filter(book::usable)
+    }
+
+    private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
+        val placed = placement.placement.value.enginesOf(task.job.model)
+        return EngineLoad(
+            id = engine.id,
+            slots = engine.slots,
+            running = running[engine.id] ?: 0,
+            pace = book.of(engine).pace,
+            placed = placed.isEmpty() || engine.id in placed,
+        )
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -15,8 +15,6 @@
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.core.job.groupRanks
-import dev.vanillarun.core.placement.EngineLoad
-import dev.vanillarun.core.placement.chooseEngine
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
@@ -68,19 +66,18 @@
 
     private enum class Conclusion { SCORE, ABORT }
 
-    private class Running(val work: kotlinx.coroutines.Job, val engine: TargetId?)
-
-    private data class Progress(
-        val transcript: Transcript = Transcript(),
-        val complete: Boolean = false,
-        val failures: Int = 0,
-        val notBefore: Instant? = null,
+    private class Running(
+        val work: kotlinx.coroutines.Job,
+        val engine: TargetId?,
+        val task: SampleTask,
+        val since: Instant,
     )
 
+    private val engines = EngineView(inputs.replicas, inputs.book, inputs.placement)
     private val confined: CoroutineDispatcher = Dispatchers.Default.limitedParallelism(1)
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val running = HashMap<RunKey, Running>()
-    private val progress = HashMap<ItemId, Progress>()
+    private val progress = HashMap<ItemId, ItemProgress>()
     private val settled = HashSet<RunKey>()
     private val groups = HashMap<JobId, Map<String, Int>>()
 
@@ -88,6 +85,7 @@
     suspend fun run(): Nothing = withContext(confined) {
         launch { inputs.board.table.collect { wake.trySend(Unit) } }
         launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
+        launch { inputs.placement.loaded.collect { wake.trySend(Unit) } }
         while (true) {
             step(this)
             withTimeoutOrNull(TICK) { wake.receive() }
@@ -96,22 +94,44 @@
         error("a runner ends by cancellation only")
     }
 
+    /** Items that are being run or concluded. */
+    @Volatile
+    var inProgress: Int = 0
+        private set
+
+    @Volatile
+    private var taking = true
+
+    /** Lets what runs come to its end and takes up nothing new. */
+    fun stopTaking() {
+        taking = false
+    }
+
     private fun step(scope: CoroutineScope) {
-        val mine = inputs.board.table.value.jobs.values.filter(::isMine)
-        stopOthers(mine)
+        val open = inputs.board.table.value.jobs.values.filter { it.open }
+        stopClosed(open)
+        if (taking) {
+            takeUp(scope, open.filter(::isMine))
+            leaveSlowEngines()
+        }
+        inProgress = running.size
+    }
+
+    private fun takeUp(scope: CoroutineScope, mine: List<JobView>) {
         val waiting = mine.flatMap(::waiting).sortedWith(ItemOrder)
         waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
     }
 
     private fun isMine(view: JobView): Boolean {
         val job = view.job ?: return false
-        return view.open && inputs.slots.owns(job.subject) && route(job) != null
+        return inputs.slots.owns(job.subject) && route(job) != null
     }
 
     private fun route(job: Job): CatalogRoute? = inputs.catalog.catalog.value?.route(job.host, job.path)
 
-    private fun stopOthers(mine: List<JobView>) {
-        val open = mine.associateBy { it.job?.id }
+    /** What runs comes to its end here although its slot may have gone: the successor begins anew and may be later. */
+    private fun stopClosed(views: List<JobView>) {
+        val open = views.associateBy { it.job?.id }
         running.filterKeys { key -> open[key.job]?.positions?.containsKey(key.item) != false }.forEach { (key, run) ->
             run.work.cancel()
             running.remove(key)
@@ -151,52 +171,50 @@
         val route = route(job) ?: return
         val task = SampleTask(job, waiting.item, route)
         val key = RunKey(job.id, waiting.item.id)
-        val known = progress.getOrPut(waiting.item.id) { Progress() }.fittingFor(task)
+        val known = progress.getOrPut(waiting.item.id) { ItemProgress() }.fittingFor(task)
         progress[waiting.item.id] = known
         val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
         val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
         if (end != null) {
-            running[key] = Running(scope.launch { conclude(task, end) }, engine = null)
+            running[key] = Running(scope.launch { conclude(task, end) }, engine = null, task, clock.now())
             return
         }
-        val engine = engineFor(task) ?: return
-        running[key] = Running(scope.launch { attempt(task, engine) }, engine.id)
+        val engine = engines.choose(task, runs()) ?: return
+        running[key] = Running(scope.launch { attempt(task, engine) }, engine.id, task, clock.now())
     }
 
-    /** What was received of an item in an earlier job goes on only if its versions are allowed here. */
-    private fun Progress.fittingFor(task: SampleTask): Progress {
-        val allowed = transcript.versions.all { it >= task.job.minVersion }
-        return if (allowed) this else Progress(failures = failures, notBefore = notBefore)
+    /** Interrupts runs that go on much faster elsewhere: an engine may turn slow for seconds. */
+    private fun leaveSlowEngines() {
+        val now = clock.now()
+        running.filterValues { now - it.since >= SETTLED }.forEach { (key, run) ->
+            val known = progress[key.item]?.takeIf { it.moves < MOST_MOVES }
+            val there = run.engine?.let { engines.faster(run.task, it, runs()) }
+            if (known != null && there != null) move(key, run, known, there)
+        }
     }
 
-    private fun engineFor(task: SampleTask): Replica? {
-        val model = task.job.model
-        val engines = task.route.services.flatMap { inputs.replicas.of(it.service) }
-            .filter { model.isEmpty() || inputs.book.weights(it, model) >= task.job.minVersion }
-            .filter(inputs.book::usable)
-        val placed = inputs.placement.placement.value.enginesOf(model)
-        val loads = engines.map { engine ->
-            EngineLoad(
-                id = engine.id,
-                slots = engine.slots,
-                running = running.values.count { it.engine == engine.id },
-                pace = inputs.book.of(engine).pace,
-                placed = placed.isEmpty() || engine.id in placed,
-            )
-        }
-        val chosen = chooseEngine(loads) ?: return null
-        return engines.first { it.id == chosen.id }
+    private fun move(key: RunKey, run: Running, known: ItemProgress, there: TargetId) {
+        run.work.cancel()
+        running.remove(key)
+        progress[key.item] = known.moved(clock.now())
+        val from = run.engine?.value.orEmpty()
+        note("item.moved", run.task, "from" to from, "to" to there.value, "after_event" to "${known.transcript.last}")
     }
 
+    /** Runs at each engine. */
+    private fun runs(): Map<TargetId, Int> = running.values.mapNotNull { it.engine }.groupingBy { it }.eachCount()
+
     private suspend fun attempt(task: SampleTask, engine: Replica) {
         val key = RunKey(task.job.id, task.item.id)
         val before = progress.getValue(task.item.id)
         val begun = clock.now()
         note("item.sent", task, "target" to engine.id.value, "after_event" to "${before.transcript.last}")
-        val end = samples.run(task, engine, before.transcript)
+        val end = samples.run(task, engine, before.transcript) { grown ->
+            progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = grown) }
+        }
         val elapsed = clock.now() - begun
         note("item.run_ended", task, "target" to engine.id.value, "end" to end.word(), "elapsed_ms" to elapsed.ms())
-        progress[task.item.id] = before.after(end)
+        progress[task.item.id] = before.after(end, clock.now())
         wake.trySend(Unit)
         val conclusion = when (end) {
             is RunEnd.Complete -> Conclusion.SCORE
@@ -207,7 +225,7 @@
         if (conclusion == null) {
             running.remove(key)
         } else {
-            running[key] = Running(currentCoroutineContext().job, engine = null)
+            running[key] = Running(currentCoroutineContext().job, engine = null, task, begun)
             conclude(task, conclusion)
         }
     }
@@ -225,15 +243,6 @@
         running.remove(key)
     }
 
-    private fun Progress.after(end: RunEnd): Progress = when (end) {
-        is RunEnd.Complete -> copy(transcript = end.transcript, complete = true)
-        is RunEnd.Interrupted -> copy(transcript = end.transcript, notBefore = clock.now() + RESUME_PAUSE)
-        is RunEnd.Unfit -> Progress(failures = failures, notBefore = clock.now() + RESUME_PAUSE)
-        RunEnd.Failed -> copy(failures = failures + 1, notBefore = clock.now() + RESUME_PAUSE)
-        RunEnd.Impossible -> this
-        is RunEnd.NotRun -> copy(notBefore = clock.now() + REFUSED_PAUSE)
-    }
-
     private suspend fun record(task: SampleTask, state: ItemState, score: String? = null) {
         val transcript = progress[task.item.id]?.transcript ?: Transcript()
         val whole = state == ItemState.COMPLETED
@@ -268,11 +277,11 @@
         /** How often the runner looks at what became due without a notice. */
         val TICK = 100.milliseconds
 
-        /** Pause before an item goes on elsewhere: the engine before has to see its connection close. */
-        val RESUME_PAUSE = 30.milliseconds
+        /** Time after which the pace of a run tells something. */
+        val SETTLED = 700.milliseconds
 
-        /** Pause before an item that was refused is sent again. */
-        val REFUSED_PAUSE = 50.milliseconds
+        /** Times that an item is moved at most; each move reads its prompt again. */
+        const val MOST_MOVES = 2
 
         /** Items whose text is remembered for later jobs; about a minute of a fleet's work. */
         const val MAX_PROGRESS = 8192
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
@@ -56,7 +56,12 @@
     private val book: TargetBook,
     private val clock: MonotonicClock,
 ) {
-    private inner class Reader(private val task: SampleTask, private val replica: Replica, before: Transcript) {
+    private inner class Reader(
+        private val task: SampleTask,
+        private val replica: Replica,
+        before: Transcript,
+        private val onGrown: (Transcript) -> Unit,
+    ) {
         var transcript: Transcript = before
             private set
         private var lastEventAt: Instant? = null
@@ -98,6 +103,7 @@
             return when (val added = transcript.add(event, task.job.minVersion, task.route.singleVersion)) {
                 is Added.Grown -> {
                     transcript = added.transcript
+                    onGrown(transcript)
                     null
                 }
 
@@ -111,9 +117,14 @@
         private fun interrupted(reason: String) = RunEnd.Interrupted(transcript, reason)
     }
 
-    /** Runs [task] at [replica], going on after [before]. */
-    suspend fun run(task: SampleTask, replica: Replica, before: Transcript): RunEnd {
-        val reader = Reader(task, replica, before)
+    /** Runs [task] at [replica], going on after [before]; [onGrown] is told of each event that was taken. */
+    suspend fun run(
+        task: SampleTask,
+        replica: Replica,
+        before: Transcript,
+        onGrown: (Transcript) -> Unit = {},
+    ): RunEnd {
+        val reader = Reader(task, replica, before, onGrown)
         val sent = withStallLimit(STALL, clock) { activity ->
             gateway.send(outgoing(task, before), replica) { reader.read(it, activity) }
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/log/BoundedEvents.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/log/BoundedEvents.kt
@@ -48,8 +48,8 @@
     }
 
     private companion object {
-        /** Lines of one kind a second; about four times the rate of items at an instance on the heaviest days. */
-        const val PER_SECOND = 60
+        /** Lines of one kind a second; the items of three steps that begin at once. */
+        const val PER_SECOND = 150
         val Window = 1.seconds
 
         /** Identity given out for an event that was left out. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetBook.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetBook.kt
@@ -65,9 +65,12 @@
     }
 
     /** [replica] serves [version] of [model]. */
-    public fun serves(replica: Replica, model: String, version: WeightVersion): Unit = change(replica) {
-        it.copy(weights = it.weights + (model to version))
-    }
+    public fun serves(replica: Replica, model: String, version: WeightVersion): Unit =
+        serves(replica.id, replica.startedAt, model, version)
+
+    /** The run of [target] that began at [startedAt] serves [version] of [model]. */
+    public fun serves(target: TargetId, startedAt: Long, model: String, version: WeightVersion): Unit =
+        change(Run(target, startedAt)) { it.copy(weights = it.weights + (model to version)) }
 
     /** [replica] broke off, was silent or could not be reached. */
     public fun failed(replica: Replica): Unit = change(replica) {
@@ -94,8 +97,10 @@
         records.keys.removeIf { it !in runs && records[it]?.running == 0 }
     }
 
-    private fun change(replica: Replica, change: (TargetRecord) -> TargetRecord) {
-        records.compute(replica.run) { _, before -> change(before ?: TargetRecord()) }
+    private fun change(replica: Replica, change: (TargetRecord) -> TargetRecord) = change(replica.run, change)
+
+    private fun change(run: Run, change: (TargetRecord) -> TargetRecord) {
+        records.compute(run) { _, before -> change(before ?: TargetRecord()) }
     }
 
     private companion object {
