--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -160,9 +160,8 @@
         it.state.value.ready && (it.age(clock.now()) ?: Duration.INFINITE) < STALE
     } && catalog.catalog.value != null
 
-    /** Starts everything. */
+    /** Starts everything; the addresses are served, with refusals, before the first view is read. */
     public suspend fun start() {
-        launchAll()
         servers += HttpServer.start(settings.callerAddress) { front.install(this) }
         servers += HttpServer.start(settings.readyAddress) {
             routing {
@@ -175,6 +174,7 @@
         }
         val admin = AdminServer(metrics.registry, ::status)
         servers += HttpServer.start(settings.adminAddress) { admin.install(this) }
+        launchAll()
         val addresses = mapOf("caller_address" to settings.callerAddress, "ready_address" to settings.readyAddress)
         events.record("instance.started", EventLinks(), addresses)
     }
--- a/vanillarun-itest/src/test/kotlin/dev/vanillarun/itest/architecture/OperatingPageTest.kt
+++ b/vanillarun-itest/src/test/kotlin/dev/vanillarun/itest/architecture/OperatingPageTest.kt
@@ -12,7 +12,7 @@
 
 class OperatingPageTest :
     DescribeSpec({
-        val page = Path.of("..", "docs", "OPERATING.md").readLines()
+        val page = Path.of("..", "docs", "OPERATIONS.md").readLines()
 
         it("explains every refusal with its status") {
             ErrorType.entries
