--- /dev/null
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -0,0 +1,178 @@
+package dev.vanillarun.daemon.target
+
+import dev.vanillarun.daemon.fake.send
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.ktor.http.Headers
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+
+/** A server that keeps connections open and answers each request with bytes of the test's choice. */
+private class KeptServer(private val answer: Socket.(request: String) -> Unit) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val connections = AtomicInteger()
+    val ended = CompletableDeferred<Throwable?>()
+    val url = "http://127.0.0.1:${server.localPort}"
+
+    init {
+        scope.launch {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                connections.incrementAndGet()
+                launch { socket.use(::serve) }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        val buffer = ByteArray(8192)
+        try {
+            while (true) {
+                val count = socket.getInputStream().read(buffer)
+                if (count < 0) break
+                socket.answer(String(buffer, 0, count))
+            }
+            ended.complete(null)
+        } catch (e: IOException) {
+            ended.complete(e)
+        }
+    }
+
+    override fun close() {
+        server.close()
+        scope.cancel()
+    }
+}
+
+private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+private suspend fun NettyTargetClient.get(url: String): Exchange<Pair<String, Boolean>> =
+    exchange(TargetRequest("GET", "$url/x?y=1", Headers.Empty)) { answer ->
+        val text = StringBuilder()
+        while (true) {
+            when (val part = answer.body.next()) {
+                is BodyPart.Bytes -> text.append(part.bytes.decodeToString())
+                is BodyPart.End -> return@exchange text.toString() to part.clean
+            }
+        }
+        @Suppress("UNREACHABLE_CODE")
+        error("the body ends")
+    }
+
+class NettyTargetClientTest :
+    DescribeSpec({
+        suspend fun with(answer: Socket.(String) -> Unit, test: suspend (NettyTargetClient, KeptServer) -> Unit) =
+            NettyTargetClient().use { client -> KeptServer(answer).use { server -> test(client, server) } }
+
+        describe("a connection") {
+            it("carries one exchange after the other") {
+                with({ send(OK) }) { client, server ->
+                    repeat(3) { client.get(server.url) shouldBe Exchange.Answered("ok" to true) }
+                    server.connections.get() shouldBe 1
+                }
+            }
+            it("is not used again when the other side says that it closes it") {
+                with({ send(OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")) }) { client, server ->
+                    repeat(2) { client.get(server.url) shouldBe Exchange.Answered("ok" to true) }
+                    server.connections.get() shouldBe 2
+                }
+            }
+            it("is not used again when its idle time is over before a request can arrive") {
+                with({ send(OK.replace("\r\n\r\n", "\r\nKeep-Alive: timeout=0\r\n\r\n")) }) { client, server ->
+                    repeat(2) { client.get(server.url) }
+                    server.connections.get() shouldBe 2
+                }
+            }
+            it("is reset, not closed, when its exchange is given up, so that nothing on the way arrives later") {
+                val asked = CompletableDeferred<Unit>()
+                with({ asked.complete(Unit) }) { client, server ->
+                    val call = launch { client.get(server.url) }
+                    asked.await()
+                    call.cancelAndJoin()
+                    server.ended.await().shouldBeInstanceOf<SocketException>().message.orEmpty() shouldContain "reset"
+                }
+            }
+            it("that carried more than its answer is not used again") {
+                with({ send(OK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") }) { client, server ->
+                    repeat(3) { client.get(server.url) shouldBe Exchange.Answered("ok" to true) }
+                    server.connections.get() shouldBe 3
+                }
+            }
+        }
+
+        describe("an answer") {
+            it("without a length is whole when its connection ends in order") {
+                with({
+                    send("HTTP/1.1 200 OK\r\n\r\nrest")
+                    close()
+                }) { client, server -> client.get(server.url) shouldBe Exchange.Answered("rest" to true) }
+            }
+            it("without a length is not whole when its connection is reset") {
+                with({
+                    send("HTTP/1.1 200 OK\r\n\r\nre")
+                    setSoLinger(true, 0)
+                    close()
+                }) { client, server ->
+                    val exchange = client.get(server.url)
+                    if (exchange is Exchange.Answered) exchange.value.second shouldBe false
+                }
+            }
+            it("that ends before its length, or before its last chunk, is not whole") {
+                listOf(
+                    "Content-Length: 9\r\n\r\nabc",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                ).forEach { cut ->
+                    with({
+                        send("HTTP/1.1 200 OK\r\n$cut")
+                        close()
+                    }) { client, server -> client.get(server.url) shouldBe Exchange.Answered("abc" to false) }
+                }
+            }
+            it("that is no HTTP, or none at all, breaks the exchange") {
+                with({ send("garbage garbage garbage\r\n\r\n") }) { client, server ->
+                    val exchange = client.get(server.url)
+                    (exchange is Exchange.Broken || exchange == Exchange.Answered("" to false)) shouldBe true
+                }
+                with({ close() }) { client, server -> client.get(server.url).shouldBeInstanceOf<Exchange.Broken>() }
+            }
+            it("comes after an interim one") {
+                with({ send("HTTP/1.1 100 Continue\r\n\r\n$OK") }) { client, server ->
+                    client.get(server.url) shouldBe Exchange.Answered("ok" to true)
+                }
+            }
+        }
+
+        describe("a target that cannot be reached") {
+            it("has been sent nothing") {
+                val closed = ServerSocket(0).use { it.localPort }
+                NettyTargetClient().use { it.get("http://127.0.0.1:$closed").shouldBeInstanceOf<Exchange.NotSent>() }
+            }
+        }
+
+        it("sends path, query and host as given") {
+            val seen = CompletableDeferred<String>()
+            with({
+                seen.complete(it)
+                send(OK)
+            }) { client, server ->
+                client.get(server.url)
+                eventually(5.seconds) { seen.await() shouldContain "GET /x?y=1 HTTP/1.1" }
+            }
+        }
+    })
