--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/EngineLoad.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/placement/EngineLoad.kt
@@ -49,5 +49,8 @@
 /** Part by which one more request in a batch slows the others: 0.0252 of 0.723 ms a step on the engines served. */
 private const val CROWDING = 0.035
 
-/** Ratio of paces from which on reading the prompt again at another engine costs less than staying. */
-private const val WORTH_A_MOVE = 2.2
+/**
+ * Ratio of paces from which on a run is moved. Engines of one fleet differ by up to 2.7 while all is well, and a move
+ * costs a connection and reading the prompt again; an engine that turns slow does so by a factor of three to four.
+ */
+private const val WORTH_A_MOVE = 3.0
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
@@ -27,6 +27,16 @@
         return found
     }
 
+    /** True if [take] would find a connection to [address] now. */
+    fun has(address: String): Boolean {
+        var found = false
+        idle.computeIfPresent(address) { _, waiting ->
+            found = waiting.any { !it.until.hasPassedNow() && it.channel.isActive }
+            waiting
+        }
+        return found
+    }
+
     /** Keeps [channel] for the next exchange; the other side closes it after [timeout], if it says so. */
     fun put(address: String, channel: Channel, timeout: Duration?) {
         val kept = minOf(timeout?.minus(MARGIN) ?: DEFAULT_IDLE, LONGEST_IDLE)
@@ -44,7 +54,7 @@
         val MARGIN = 500.milliseconds
 
         /** Time for which a connection is kept whose other side does not say how long it does. */
-        val DEFAULT_IDLE = 4.seconds
+        val DEFAULT_IDLE = 8.seconds
         val LONGEST_IDLE = 60.seconds
     }
 }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -69,6 +69,8 @@
         }
     }
 
+    override fun isWarm(address: String): Boolean = pool.has(address)
+
     private sealed interface Connected {
         class Open(val channel: Channel) : Connected
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -78,4 +78,7 @@
 public interface TargetClient : AutoCloseable {
     /** Sends [request] and hands the beginning of its answer to [handle]. */
     public suspend fun <T> exchange(request: TargetRequest, handle: suspend (TargetAnswer) -> T): Exchange<T>
+
+    /** True if an open connection to [address], `host:port`, waits for an exchange; false where this is unknown. */
+    public fun isWarm(address: String): Boolean = false
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -86,8 +86,9 @@
     private val book = TargetBook(clock)
     private val placement = PlacementBoard(ports.store, book, clock, events)
     private val gateway = TargetGateway(ports.client, ports.targets, book)
+    private val chooser = ReplicaChooser(replicas, book, gateway::isWarm, clock)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
-    private val live = LiveForwarder(ReplicaChooser(replicas, book, clock), gateway, book, crashes, clock, events)
+    private val live = LiveForwarder(chooser, gateway, book, crashes, clock, events)
     private val window = settings.hosting.usageWindowS.seconds
     private val meter = UsageMeter(usageAppender, window, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -281,7 +281,7 @@
         val SETTLED = 700.milliseconds
 
         /** Times that an item is moved at most; each move reads its prompt again. */
-        const val MOST_MOVES = 2
+        const val MOST_MOVES = 1
 
         /** Items whose text is remembered for later jobs; about a minute of a fleet's work. */
         const val MAX_PROGRESS = 8192
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -10,10 +10,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Chooses targets of plain services: the one where an answer is expected first. */
+/**
+ * Chooses targets of plain services: the one where an answer is expected first.
+ *
+ * A target to which a connection is open goes before others that are a little faster: targets charge for each new
+ * connection, and calls of one instance to one target are rare.
+ */
 internal class ReplicaChooser(
     private val replicas: ReplicaSource,
     private val book: TargetBook,
+    private val isWarm: (Replica) -> Boolean,
     private val clock: MonotonicClock,
     private val random: Random = Random.Default,
 ) {
@@ -48,13 +54,17 @@
         val busy = maxOf(seen.running, told?.let { it.running + it.waiting } ?: 0)
         val queued = maxOf(0, busy + 1 - replica.slots).toDouble() / replica.slots.coerceAtLeast(1)
         val crowding = busy.toDouble() / replica.slots.coerceAtLeast(1) * CROWDING
-        return (seen.pace ?: UNKNOWN_PACE).inWholeMicroseconds * (1 + crowding + queued)
+        val connection = if (isWarm(replica)) 1.0 else NEW_CONNECTION
+        return (seen.pace ?: UNKNOWN_PACE).inWholeMicroseconds * (1 + crowding + queued) * connection
     }
 
     private companion object {
         /** Spread of scores, so that instances that know the same do not choose alike. */
         const val JITTER = 0.3
 
+        /** Factor by which a target may be slower before a new connection to a faster one is worth it. */
+        const val NEW_CONNECTION = 1.8
+
         /** Part by which a target that is nearly full answers more slowly. */
         const val CROWDING = 0.5
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -48,6 +48,9 @@
     private val dialect: TargetDialect,
     private val book: TargetBook,
 ) {
+    /** True if a request to [replica] needs no new connection. */
+    public fun isWarm(replica: Replica): Boolean = client.isWarm(replica.address)
+
     /** Sends [request] to [replica] and hands the answer to [handle] if the target ran it. */
     public suspend fun <T> send(
         request: OutgoingRequest,
