--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -52,6 +52,10 @@
     @Synchronized
     fun all(topic: TopicName): List<StoredTopicRecord> = topics[topic].orEmpty().toList()
 
+    /** Writes [record] as another writer does, also while no call is answered. */
+    @Synchronized
+    fun put(topic: TopicName, record: TopicRecord) = write(topic, listOf(record), identity = null)
+
     /** Drops records before [offset], but the newest of each key. */
     @Synchronized
     fun expire(topic: TopicName, offset: Long) {
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -0,0 +1,180 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.time.SystemClock
+import dev.vanillarun.core.timeline.NoEvents
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.fake.Behaviour
+import dev.vanillarun.hosted.fake.FakeCodec
+import dev.vanillarun.hosted.fake.FakeTargets
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.TargetBook
+import dev.vanillarun.hosted.target.TargetGateway
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.ktor.http.Headers
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private fun route(kind: RequestKind, attempts: Int = 3) = CatalogRoute(
+    name = "r",
+    host = "h",
+    pathPrefix = "/",
+    kind = kind,
+    services = listOf(ServiceShare("desk")),
+    timeout = 5.seconds,
+    objective = 100.milliseconds,
+    maxAttempts = attempts,
+)
+
+private fun request(
+    route: CatalogRoute,
+    within: Duration = 5.seconds,
+    body: String = "b",
+    id: String = "r1",
+): LiveRequest {
+    val now = SystemClock.now()
+    return LiveRequest(
+        id = id,
+        method = "POST",
+        uri = "/x",
+        host = "h",
+        headers = Headers.Empty,
+        body = body.encodeToByteArray(),
+        route = route,
+        customer = null,
+        received = now,
+        deadline = now + within,
+    )
+}
+
+class LiveForwarderTest :
+    DescribeSpec({
+        class Setting(val targets: FakeTargets, val live: LiveForwarder)
+
+        suspend fun with(count: Int, test: suspend Setting.() -> Unit): Unit = coroutineScope {
+            val log = FakeTopicLog()
+            repeat(count) { FakeCodec.announce(log, "t$it", "desk ready") }
+            val replicas = ReplicaSource(log, FakeCodec, SystemClock, NoEvents)
+            launch { replicas.follower.run() }
+            replicas.replicas.first { it.size == count }
+            val targets = FakeTargets()
+            val book = TargetBook(SystemClock)
+            val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p")
+            launch { appender.run() }
+            val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoEvents)
+            val gateway = TargetGateway(targets, targets, book)
+            val chooser = ReplicaChooser(replicas, book, gateway::isWarm, SystemClock)
+            Setting(targets, LiveForwarder(chooser, gateway, book, crashes, SystemClock, NoEvents)).test()
+            coroutineContext.cancelChildren()
+        }
+
+        fun FakeTargets.all(count: Int, behaviour: Behaviour) = repeat(count) { behaviours["t$it:80"] = behaviour }
+
+        describe("a repeatable call on a day on which targets fall silent without a reset") {
+            it("is answered by a second target long before its deadline") {
+                with(2) {
+                    targets.behaviours["t0:80"] = Behaviour.IsSilent
+                    repeat(6) {
+                        val begun = SystemClock.now()
+                        live.serve(request(route(RequestKind.IDEMPOTENT))).shouldBeInstanceOf<LiveOutcome.Whole>()
+                        (SystemClock.now() - begun < 2.seconds) shouldBe true
+                    }
+                }
+            }
+            it("asks no more targets than its route allows") {
+                with(5) {
+                    targets.all(5, Behaviour.IsSilent)
+                    val outcome = live.serve(
+                        request(route(RequestKind.IDEMPOTENT, attempts = 2), within = 600.milliseconds),
+                    )
+                    outcome shouldBe LiveOutcome.Unknown("no answer in time", late = true)
+                    targets.sent shouldHaveSize 2
+                }
+            }
+        }
+
+        describe("a call whose targets fail") {
+            it("gets an answer of another one, or the failure itself") {
+                with(2) {
+                    targets.behaviours["t0:80"] = Behaviour.Answers(500)
+                    repeat(4) {
+                        live.serve(
+                            request(route(RequestKind.IDEMPOTENT)),
+                        ).shouldBeInstanceOf<LiveOutcome.Whole>().status shouldBe
+                            200
+                    }
+                    targets.all(2, Behaviour.Answers(500))
+                    val failed = live.serve(
+                        request(route(RequestKind.IDEMPOTENT)),
+                    ).shouldBeInstanceOf<LiveOutcome.Whole>()
+                    failed.status shouldBe 500
+                    failed.serverErrors shouldBe 2
+                }
+            }
+            it("is said to have not run only if no target can have run it") {
+                listOf(
+                    Behaviour.IsGone to true,
+                    Behaviour.Answers(503, notRun = true) to true,
+                    Behaviour.Breaks to false,
+                    Behaviour.Crosses to false,
+                )
+                    .forEach { (behaviour, notRun) ->
+                        with(3) {
+                            targets.all(3, behaviour)
+                            val outcome = live.serve(request(route(RequestKind.NON_IDEMPOTENT)))
+                            (outcome is LiveOutcome.NotRun) shouldBe notRun
+                            (outcome is LiveOutcome.Unknown) shouldBe !notRun
+                        }
+                    }
+            }
+            it("is never sent a second time after it may have run, if it may run once") {
+                listOf(Behaviour.Breaks, Behaviour.Crosses, Behaviour.Answers(500)).forEach { behaviour ->
+                    with(3) {
+                        targets.all(3, behaviour)
+                        live.serve(request(route(RequestKind.NON_IDEMPOTENT)))
+                        targets.sent shouldHaveSize 1
+                    }
+                }
+            }
+            it("is refused at once while all targets are full") {
+                with(2) {
+                    targets.all(2, Behaviour.Answers(503, notRun = true))
+                    repeat(3) { live.serve(request(route(RequestKind.IDEMPOTENT))) }
+                    val sends = targets.sent.size
+                    live.serve(request(route(RequestKind.IDEMPOTENT))) shouldBe
+                        LiveOutcome.NotRun("all targets are full")
+                    targets.sent shouldHaveSize sends
+                }
+            }
+        }
+
+        describe("a request at which target after target breaks off") {
+            it("is refused after three targets, whoever sends it again; others go on") {
+                with(6) {
+                    targets.all(6, Behaviour.Breaks)
+                    repeat(3) { live.serve(request(route(RequestKind.IDEMPOTENT), body = "poison", id = "p$it")) }
+                    val sends = targets.sent.size
+                    live.serve(request(route(RequestKind.IDEMPOTENT), body = "poison", id = "again"))
+                        .shouldBeInstanceOf<LiveOutcome.NotRun>()
+                    targets.sent shouldHaveSize sends
+                    targets.all(6, Behaviour.Answers())
+                    live.serve(
+                        request(route(RequestKind.IDEMPOTENT), body = "other"),
+                    ).shouldBeInstanceOf<LiveOutcome.Whole>()
+                }
+            }
+        }
+    })
