--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -11,6 +11,7 @@
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.core.timeline.record
+import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.daemon.HttpServer
 import dev.vanillarun.daemon.admin.AdminServer
 import dev.vanillarun.daemon.admin.HeldDuty
@@ -86,7 +87,7 @@
     private val book = TargetBook(clock)
     private val placement = PlacementBoard(ports.store, book, clock, events)
     private val gateway = TargetGateway(ports.client, ports.targets, book)
-    private val chooser = ReplicaChooser(replicas, book, gateway::isWarm, clock)
+    private val chooser = ReplicaChooser(replicas, book, gateway::isWarm, DataCentre(settings.dataCentre), clock)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(chooser, gateway, book, crashes, clock, events)
     private val window = settings.hosting.usageWindowS.seconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/ControlDuty.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/ControlDuty.kt
@@ -6,7 +6,6 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.daemon.agreement.DutyRunner
-import kotlinx.coroutines.delay
 import kotlin.time.Duration
 
 /**
@@ -14,7 +13,7 @@
  *
  * The hosting platform does not check fencing numbers. It counts it as a fault if two instances take turns within
  * [noTurns], so an instance that regains the duty rests until its last action lies that far back, and one that has just
- * started takes no part before, because its previous run may have acted.
+ * started rests as long, because its previous run may have acted.
  */
 internal class ControlDuty(
     private val runner: DutyRunner,
@@ -23,6 +22,8 @@
 ) {
     private data class Acted(val term: Offset, val at: Instant)
 
+    private val startedAt = clock.now()
+
     @Volatile
     private var acted: Acted? = null
 
@@ -33,10 +34,7 @@
     val heldTerm: Offset? get() = runner.state.value.takeIf { it.mayAct(clock.now()) }?.term
 
     /** Takes part in the lease until the calling coroutine is cancelled. */
-    suspend fun run(): Nothing {
-        delay(noTurns)
-        runner.run()
-    }
+    suspend fun run(): Nothing = runner.run()
 
     /** True if something that takes [needed] may be begun now. */
     fun mayAct(needed: Duration): Boolean = mayAct(runner.state.value, needed)
@@ -44,7 +42,13 @@
     private fun mayAct(lease: LeaseParticipant, needed: Duration): Boolean {
         val now = clock.now()
         val last = acted
-        val rested = last == null || last.term == lease.term || now - last.at >= noTurns
+        val rested = if (last ==
+            null
+        ) {
+            now - startedAt >= noTurns
+        } else {
+            last.term == lease.term || now - last.at >= noTurns
+        }
         return rested && lease.mayAct(now, needed)
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
@@ -73,22 +73,36 @@
             val before = inputs.placement.placement.value
             val placement = placeModels(service.models, engines, before)
             if (placement != before) placements.keep(PlacementBoard.record(placement))
-            service.models.forEach { model -> load(scope, model, engines, placement) }
+            service.models.sortedByDescending { behind(it, engines, placement) }
+                .forEach { model -> load(scope, model, engines, placement) }
         }
     }
 
+    /** Versions by which the most outdated engine of [model] is behind; jobs wait for an engine that is far behind. */
+    private fun behind(model: String, engines: List<Replica>, placement: ModelPlacement): Long {
+        val named = inputs.catalog.named.value[model]?.number ?: return 0
+        val placed = placement.enginesOf(model)
+        return engines.filter { it.id in placed }.maxOfOrNull { named - inputs.book.weights(it, model) } ?: 0
+    }
+
     private fun load(scope: CoroutineScope, model: String, engines: List<Replica>, placement: ModelPlacement) {
         val version = inputs.catalog.named.value[model] ?: return
         val placed = placement.enginesOf(model)
+        val now = clock.now()
         val known = engines.filter { it.id in placed }.map { it.seen(model) }
+        val reading = underWay.count { id -> loads[id]?.let { now - it.since < LOAD_TIME } ?: false }
         val limits = RolloutLimits(
-            maxLoading = maxOf(MOST_LOADING, engines.size / ENGINES_A_LOAD) - underWay.size,
+            maxLoading = known.count { it.loadingSince != null } +
+                maxOf(MOST_LOADING, engines.size / ENGINES_A_LOAD) - reading,
             loadTimeout = LOAD_TIMEOUT,
             retryPause = RETRY_PAUSE,
         )
-        planWeightLoads(known, version, limits, clock.now()).forEach { id ->
+        planWeightLoads(known, version, limits, now).forEach { id ->
             val engine = engines.first { it.id == id }
-            if (underWay.add(id)) scope.launch { bring(engine, model, version) }
+            if (underWay.add(id)) {
+                loads.compute(id) { _, before -> (before ?: Load(now)).copy(since = now) }
+                scope.launch { bring(engine, model, version) }
+            }
         }
     }
 
@@ -107,7 +121,6 @@
 
     private suspend fun bring(engine: Replica, model: String, version: WeightVersion) {
         val since = clock.now()
-        loads.compute(engine.id) { _, before -> (before ?: Load(since)).copy(since = since) }
         try {
             val loaded = ordered(engine, model, version)
             val failed = loads[engine.id]?.failures ?: 0
@@ -199,6 +212,9 @@
         val LOAD_TIMEOUT = 5.seconds
         val RETRY_PAUSE = 300.milliseconds
 
+        /** Time for which a load takes up the weight store; what follows is the wait for the engine's own word. */
+        val LOAD_TIME = 950.milliseconds
+
         /** Part of a load of about 0.9 s in which it is not worth asking whether it has ended. */
         val SHORTEST_LOAD = 750.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineView.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineView.kt
@@ -9,7 +9,7 @@
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.target.TargetBook
 
-/** The engines as the runner of a model sees them. */
+/** The engines as the runner of a model sees them. One that failed gets a single run until it has answered again. */
 internal class EngineView(
     private val replicas: ReplicaSource,
     private val book: TargetBook,
@@ -37,11 +37,12 @@
 
     private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
         val placed = placement.placement.value.enginesOf(task.job.model)
+        val seen = book.of(engine)
         return EngineLoad(
             id = engine.id,
-            slots = engine.slots,
+            slots = if (seen.failures > 0) 1 else engine.slots,
             running = running[engine.id] ?: 0,
-            pace = book.of(engine).pace,
+            pace = seen.pace,
             placed = placed.isEmpty() || engine.id in placed,
         )
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRun.kt
@@ -164,7 +164,7 @@
         const val IMPOSSIBLE = 422
 
         /** Time without a byte after which an engine is left; a load of weights takes about a second. */
-        val STALL = 2500.milliseconds
+        val STALL = 1800.milliseconds
 
         /** Bound on a run that nobody waits for any more, for instance behind a cut link. */
         val LONGEST_RUN = 30.seconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.target.TargetBook
 import kotlin.random.Random
@@ -20,6 +21,7 @@
     private val replicas: ReplicaSource,
     private val book: TargetBook,
     private val isWarm: (Replica) -> Boolean,
+    private val local: DataCentre,
     private val clock: MonotonicClock,
     private val random: Random = Random.Default,
 ) {
@@ -55,7 +57,8 @@
         val queued = maxOf(0, busy + 1 - replica.slots).toDouble() / replica.slots.coerceAtLeast(1)
         val crowding = busy.toDouble() / replica.slots.coerceAtLeast(1) * CROWDING
         val connection = if (isWarm(replica)) 1.0 else NEW_CONNECTION
-        return (seen.pace ?: UNKNOWN_PACE).inWholeMicroseconds * (1 + crowding + queued) * connection
+        val way = if (replica.dataCentre == local) 1.0 else OTHER_DATA_CENTRE
+        return (seen.pace ?: UNKNOWN_PACE).inWholeMicroseconds * (1 + crowding + queued) * connection * way
     }
 
     private companion object {
@@ -65,6 +68,9 @@
         /** Factor by which a target may be slower before a new connection to a faster one is worth it. */
         const val NEW_CONNECTION = 1.8
 
+        /** Factor by which a target in the own data centre may be slower; others may be cut off at any time. */
+        const val OTHER_DATA_CENTRE = 1.3
+
         /** Part by which a target that is nearly full answers more slowly. */
         const val CROWDING = 0.5
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetBook.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetBook.kt
@@ -108,8 +108,10 @@
         const val GAIN = 0.15
 
         /** Pause after a first failure, doubled by each further one. */
-        val FIRST_PAUSE = 250.milliseconds
-        val LONGEST_PAUSE = 2.seconds
+        val FIRST_PAUSE = 1.seconds
+
+        /** Targets that crash are back after some seconds. */
+        val LONGEST_PAUSE = 4.seconds
         const val MAX_DOUBLINGS = 4
 
         /** Pause after a refusal for want of room, a few typical service times; doubled by each further one. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.time.SystemClock
 import dev.vanillarun.core.timeline.NoEvents
+import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.fake.Behaviour
 import dev.vanillarun.hosted.fake.FakeCodec
@@ -76,7 +77,7 @@
             launch { appender.run() }
             val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoEvents)
             val gateway = TargetGateway(targets, targets, book)
-            val chooser = ReplicaChooser(replicas, book, gateway::isWarm, SystemClock)
+            val chooser = ReplicaChooser(replicas, book, gateway::isWarm, DataCentre("z"), SystemClock)
             Setting(targets, LiveForwarder(chooser, gateway, book, crashes, SystemClock, NoEvents)).test()
             coroutineContext.cancelChildren()
         }
