Leave the group of runners for good at a planned stop; bound the pause of the lease's followers

Ruled out: weights (engines had the version), the store (up until 15.7 s). SlotMembershipTest is red without the change.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -44,6 +44,7 @@
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
+import dev.vanillarun.hosted.store.storeBackoff
 import dev.vanillarun.hosted.target.TargetBook
 import dev.vanillarun.hosted.target.TargetGateway
 import io.ktor.http.HttpStatusCode
@@ -96,7 +97,15 @@
 
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
     private val leaseAppender = LogAppender(leaseLog, clock)
-    private val leases = LogFollower(leaseLog, setOf(StreamName.Duty), LeaseReducer, clock = clock, wait = LEASE_POLL)
+    private val leases =
+        LogFollower(
+            leaseLog,
+            setOf(StreamName.Duty),
+            LeaseReducer,
+            clock = clock,
+            backoff = storeBackoff(),
+            wait = LEASE_POLL,
+        )
     private val noTurns = settings.hosting.leaseMs.milliseconds
     private val duty = ControlDuty(
         runner = DutyRunner(
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
@@ -4,10 +4,13 @@
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.timeline.record
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -21,6 +24,8 @@
     private val member: String,
     private val events: EventRecorder,
 ) {
+    private val joining = Mutex()
+    private var left = false
     private val granted = MutableStateFlow(SlotGrant(generation = 0, emptySet()))
 
     /** What the store granted last. */
@@ -29,18 +34,22 @@
     /** True if jobs of [subject] are run here. */
     fun owns(subject: String): Boolean = subject.hashCode().mod(log.slotCount) in granted.value.slots
 
-    /** Stays a member until the calling coroutine is cancelled. */
-    suspend fun run(): Nothing {
-        while (true) {
-            log.join(GROUP, member, granted.value.generation, TTL)?.let(::take)
-            delay(INTERVAL)
-        }
+    /** Stays a member until it [leave]s or the calling coroutine is cancelled. */
+    suspend fun run() {
+        while (joining.withLock { join() }) delay(INTERVAL)
+    }
+
+    private suspend fun join(): Boolean {
+        if (!left) log.join(GROUP, member, granted.value.generation, TTL)?.let(::take)
+        return !left
     }
 
-    /** Hands the slots over. */
-    suspend fun leave() {
+    /** Hands the slots over and does not come back. */
+    suspend fun leave(): Unit = joining.withLock {
+        left = true
         granted.value = SlotGrant(granted.value.generation, emptySet())
         log.leave(GROUP, member)
+        events.record("slots.left")
     }
 
     private fun take(next: SlotGrant) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -11,6 +11,7 @@
 import dev.vanillarun.core.store.TopicRecord
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.CopyOnWriteArraySet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -108,8 +109,16 @@
         return TopicRead.Page(newest, Offset(list.size.toLong()), Offset(list.size.toLong()))
     }
 
-    override suspend fun join(group: String, member: String, generation: Long, ttl: Duration): SlotGrant? =
-        if (up) SlotGrant(generation + 1, slots) else null
+    /** Members of the only group. */
+    val members = CopyOnWriteArraySet<String>()
 
-    override suspend fun leave(group: String, member: String) = Unit
+    override suspend fun join(group: String, member: String, generation: Long, ttl: Duration): SlotGrant? {
+        if (!up) return null
+        members += member
+        return SlotGrant(generation + 1, slots)
+    }
+
+    override suspend fun leave(group: String, member: String) {
+        members -= member
+    }
 }
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SlotMembershipTest.kt
@@ -0,0 +1,36 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.timeline.NoEvents
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+
+class SlotMembershipTest :
+    DescribeSpec({
+        it("owns the jobs whose slot was granted") {
+            coroutineScope {
+                val slots = SlotMembership(FakeTopicLog(), "i", NoEvents)
+                slots.owns("model") shouldBe false
+                val member = launch { slots.run() }
+                slots.grant.first { it.slots.isNotEmpty() }
+                slots.owns("model") shouldBe true
+                member.cancel()
+            }
+        }
+        it("does not come back after it has left, on a day of planned stops in turn") {
+            coroutineScope {
+                val log = FakeTopicLog()
+                val slots = SlotMembership(log, "i", NoEvents)
+                val member = launch { slots.run() }
+                slots.grant.first { it.slots.isNotEmpty() }
+                slots.leave()
+                member.join()
+                log.members.shouldBeEmpty()
+                slots.owns("model") shouldBe false
+            }
+        }
+    })
