Load weights between steps; try an item that breaks engines off ever more rarely

A step allows weights one version older, so engines now load once the step before has ended. LoadTimingTest names the pattern.

--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/LoadTimingTest.kt
@@ -0,0 +1,60 @@
+package dev.vanillarun.core.order
+
+import dev.vanillarun.core.id.TargetId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.bind
+import io.kotest.property.arbitrary.boolean
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val a = TargetId("a")
+private val b = TargetId("b")
+private val steps = Arb.list(Arb.bind(Arb.long(0L..6L), Arb.boolean()) { min, open -> StepOfModel(min, open) }, 0..4)
+
+class LoadTimingTest :
+    DescribeSpec({
+        describe("a trainer whose steps follow each other without a pause") {
+            val versions = mapOf(a to 6L, b to 6L)
+            fun timing(vararg all: StepOfModel) =
+                LoadTiming(newest = 7, namedFor = 10.milliseconds, versions, all.toList())
+
+            it("has its new step served by the engines as they are") {
+                timing(StepOfModel(5, open = false), StepOfModel(6, open = true)).dueEngines() shouldBe emptySet()
+            }
+            it("finds them still when it has named the weights and the step is on its way") {
+                timing(StepOfModel(5, open = false)).dueEngines() shouldBe emptySet()
+            }
+            it("gets the newest weights loaded as soon as the step has ended, while it trains") {
+                timing(StepOfModel(5, open = false), StepOfModel(6, open = false)).dueEngines() shouldBe setOf(a, b)
+            }
+        }
+        describe("engines that are too old for a step") {
+            it("load at once, the others go on") {
+                val timing = LoadTiming(7, 1.seconds, mapOf(a to 5L, b to 6L), listOf(StepOfModel(6, open = true)))
+                timing.dueEngines() shouldBe setOf(a)
+            }
+            it("load at once, too, when the step is still to come") {
+                val timing =
+                    LoadTiming(7, 10.milliseconds, mapOf(a to 5L, b to 6L), listOf(StepOfModel(5, open = false)))
+                timing.dueEngines() shouldBe setOf(a)
+            }
+        }
+        it("loads the newest weights in the end, whatever the trainer does not do") {
+            LoadTiming(7, 4.seconds, mapOf(a to 6L), emptyList()).dueEngines() shouldBe setOf(a)
+        }
+        it("never leaves an open step without an engine that may serve it, and never loads what is loaded") {
+            checkAll(Arb.long(1L..7L), Arb.long(0L..7L), Arb.long(0L..7L), steps) { newest, ofA, ofB, all ->
+                val versions = mapOf(a to minOf(ofA, newest), b to minOf(ofB, newest))
+                val due = LoadTiming(newest, 1.seconds, versions, all).dueEngines()
+                due.all { versions.getValue(it) < newest } shouldBe true
+                all.filter { it.open && it.minVersion <= newest }.forEach { step ->
+                    (versions.any { it.value >= step.minVersion } || due.isNotEmpty()) shouldBe true
+                }
+            }
+        }
+    })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -134,7 +134,7 @@
     private val loads = WeightLoads(
         duty = duty,
         calls = ports.calls,
-        inputs = LoadInputs(catalog, replicas, placement, book),
+        inputs = LoadInputs(catalog, replicas, placement, board, book),
         placements = placementAppender,
         self = self,
         clock = clock,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoads.kt
@@ -5,8 +5,12 @@
 import dev.vanillarun.core.id.RouteName
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.id.WeightVersion
+import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.order.LoadTiming
 import dev.vanillarun.core.order.RolloutLimits
+import dev.vanillarun.core.order.StepOfModel
 import dev.vanillarun.core.order.WeightReplica
+import dev.vanillarun.core.order.dueEngines
 import dev.vanillarun.core.order.planWeightLoads
 import dev.vanillarun.core.placement.ModelPlacement
 import dev.vanillarun.core.placement.placeModels
@@ -17,6 +21,7 @@
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.job.JobBoard
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.TargetBook
 import kotlinx.coroutines.CoroutineScope
@@ -24,6 +29,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -32,6 +38,7 @@
     val catalog: CatalogSource,
     val replicas: ReplicaSource,
     val placement: PlacementBoard,
+    val jobs: JobBoard,
     val book: TargetBook,
 )
 
@@ -52,6 +59,9 @@
 ) {
     private data class Load(val since: Instant, val failures: Int = 0, val failedAt: Instant? = null)
 
+    private data class Named(val version: WeightVersion, val since: Instant)
+
+    private val named = HashMap<String, Named>()
     private val loads = ConcurrentHashMap<TargetId, Load>()
     private val underWay = ConcurrentHashMap.newKeySet<TargetId>()
 
@@ -89,11 +99,16 @@
         val version = inputs.catalog.named.value[model] ?: return
         val placed = placement.enginesOf(model)
         val now = clock.now()
-        val known = engines.filter { it.id in placed }.map { it.seen(model) }
+        val steps = inputs.jobs.table.value.jobs.values.mapNotNull { it.step(model) }
+        val own = engines.filter { it.id in placed }
+        val versions = own.associate { it.id to inputs.book.weights(it, model) }
+        val due = LoadTiming(version.number, namedFor(model, version), versions, steps).dueEngines()
+        val known = own.filter { it.id in due || it.id in underWay }.map { it.seen(model) }
         val reading = underWay.count { id -> loads[id]?.let { now - it.since < LOAD_TIME } ?: false }
         val limits = RolloutLimits(
             maxLoading = known.count { it.loadingSince != null } +
                 maxOf(MOST_LOADING, engines.size / ENGINES_A_LOAD) - reading,
+            maxLoadingPart = if (steps.any { it.open }) HALF else 1.0,
             loadTimeout = LOAD_TIMEOUT,
             retryPause = RETRY_PAUSE,
         )
@@ -106,6 +121,16 @@
         }
     }
 
+    private fun JobView.step(model: String): StepOfModel? =
+        job?.takeIf { it.model == model }?.let { StepOfModel(it.minVersion, open) }
+
+    /** How long [version] of [model] has been the newest here. */
+    private fun namedFor(model: String, version: WeightVersion): Duration {
+        val known = named[model]?.takeIf { it.version == version } ?: Named(version, clock.now())
+        named[model] = known
+        return clock.now() - known.since
+    }
+
     private fun Replica.seen(model: String): WeightReplica {
         val load = loads[id]
         return WeightReplica(
@@ -207,6 +232,9 @@
         /** Engines that load at a time without slowing each other down, as the operators state for today's fleets. */
         const val MOST_LOADING = 2
 
+        /** Part of a model's engines that may load while a step is served. */
+        const val HALF = 0.5
+
         /** On larger fleets one of so many engines may load at a time. */
         const val ENGINES_A_LOAD = 4
         val LOAD_TIMEOUT = 5.seconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
@@ -16,6 +16,8 @@
     val notBefore: Instant? = null,
     /** Times that it was moved away from a slow engine. */
     val moves: Int = 0,
+    /** Runs in a row that broke off without a further event. */
+    val fruitless: Int = 0,
 ) {
     /** What of it counts for [task]: a text goes on only if all its versions are allowed there. */
     fun fittingFor(task: SampleTask): ItemProgress {
@@ -26,13 +28,21 @@
     /** After a run that ended with [end] at [now]. */
     fun after(end: RunEnd, now: Instant): ItemProgress = when (end) {
         is RunEnd.Complete -> copy(transcript = end.transcript, complete = true)
-        is RunEnd.Interrupted -> copy(transcript = end.transcript, notBefore = now + RESUME_PAUSE)
+        is RunEnd.Interrupted -> interrupted(end.transcript, now)
         is RunEnd.Unfit -> ItemProgress(failures = failures, notBefore = now + RESUME_PAUSE)
         RunEnd.Failed -> copy(failures = failures + 1, notBefore = now + RESUME_PAUSE)
         RunEnd.Impossible -> this
         is RunEnd.NotRun -> copy(notBefore = now + REFUSED_PAUSE)
     }
 
+    /** An item at which run after run breaks off may be what breaks the engines; it is tried ever more rarely. */
+    private fun interrupted(received: Transcript, now: Instant): ItemProgress {
+        val grown = received.last > transcript.last
+        val runs = if (grown) 0 else fruitless + 1
+        val pause = minOf(RESUME_PAUSE * (1 shl runs.coerceAtMost(MAX_DOUBLINGS)), LONGEST_PAUSE)
+        return copy(transcript = received, notBefore = now + pause, fruitless = runs)
+    }
+
     /** After its run was ended at [now] so that it goes on at another engine. */
     fun moved(now: Instant): ItemProgress = copy(moves = moves + 1, notBefore = now + RESUME_PAUSE)
 
@@ -40,6 +50,9 @@
         /** Pause before an item goes on elsewhere: the engine before has to see its connection close. */
         val RESUME_PAUSE = 30.milliseconds
 
+        val LONGEST_PAUSE = 2000.milliseconds
+        const val MAX_DOUBLINGS = 7
+
         /** Pause before an item that was refused is sent again. */
         val REFUSED_PAUSE = 50.milliseconds
     }
