Replace a test that claimed more than a connection can promise

HTTP/1.1 gives a client no way to tell; the identity of the request does, one layer up (TargetGateway, LiveForwarderTest 'Crosses'). In its place: a connection that receives anything while idle is closed, and one whose answer was not read to its end is not used again.

--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -108,9 +108,17 @@
                     server.ended.await().shouldBeInstanceOf<SocketException>().message.orEmpty() shouldContain "reset"
                 }
             }
-            it("that carried more than its answer is not used again") {
+            it("that carries more than its answer while it is idle is closed, and not used again") {
                 with({ send(OK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") }) { client, server ->
-                    repeat(3) { client.get(server.url) shouldBe Exchange.Answered("ok" to true) }
+                    client.get(server.url) shouldBe Exchange.Answered("ok" to true)
+                    server.ended.await()
+                    client.get(server.url) shouldBe Exchange.Answered("ok" to true)
+                    server.connections.get() shouldBe 2
+                }
+            }
+            it("whose answer was not read to its end, because it belongs to another request, is not used again") {
+                with({ send(OK) }) { client, server ->
+                    repeat(3) { client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty)) { it.status } }
                     server.connections.get() shouldBe 3
                 }
             }
