--- a/vanillarun-itest/src/test/kotlin/dev/vanillarun/itest/pages/NamedTest.kt
+++ b/vanillarun-itest/src/test/kotlin/dev/vanillarun/itest/pages/NamedTest.kt
@@ -18,7 +18,9 @@
 
 /** Sources and reports of all modules, as far as this build has made them. */
 internal class BuiltTests(private val root: Path) {
-    private val modules = Files.list(root).use { all -> all.filter { it.name.startsWith("vanillarun-") || it.name == "platform" }.toList() }
+    private val modules = Files.list(root).use { all -> all.filter(::isModule).toList() }
+
+    private fun isModule(path: Path): Boolean = path.name.startsWith("vanillarun-") || path.name == "platform"
 
     /** Why [test] does not hold up; null if it stands in the sources and, where its module was run, passed. */
     fun problem(test: NamedTest): String? {
