--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -69,17 +69,8 @@
             "catalog" to "${catalog.catalog.value?.version}",
             "method" to head.method,
         )
-        events.record(
-            if (reply.status <
-                FIRST_ERROR
-            ) {
-                "request.served"
-            } else {
-                "request.ended"
-            },
-            EventLinks(request = terms.id),
-            what,
-        )
+        val name = if (reply.status < FIRST_ERROR) "request.served" else "request.ended"
+        events.record(name, EventLinks(request = terms.id), what)
     }
 
     private suspend fun reply(head: RequestHead, terms: CallTerms, body: ByteArray, received: Instant): Reply {
@@ -145,7 +136,6 @@
         if (customer != null && outcome !is LiveOutcome.NotRun) usage.count(customer.id)
         return when (outcome) {
             is LiveOutcome.Whole -> Reply(outcome.status, "answered", outcome.body, outcome.headers)
-            LiveOutcome.Streamed -> Reply(OK, "streamed")
             is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(route))
             is LiveOutcome.Unknown -> Reply(if (outcome.late) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
         }
@@ -166,7 +156,6 @@
     }
 
     private companion object {
-        const val OK = 200
         const val FIRST_ERROR = 400
         const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -56,9 +56,6 @@
         val serverErrors: Int = 0,
     ) : LiveOutcome
 
-    /** A stream was passed on to its end. */
-    data object Streamed : LiveOutcome
-
     /** No target has run it, and none will. */
     data class NotRun(val reason: String) : LiveOutcome
 
