Order engines as the jobs demand, reclaimable ones on top of the firm

Ruled out: order of items and waits for weights; the steps that were late ran on all places that there were. Change: the holder of the control duty orders engines for the items that open jobs have left, one place for each, within the bounds of the service; what is added is reclaimable where such targets are offered, spread over data centres, and made up for elsewhere while a data centre has none to give.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/CatalogRoute.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/CatalogRoute.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.core.catalog
 
+import dev.vanillarun.core.zone.DataCentre
 import kotlin.time.Duration
 
 /** What a route allows to be repeated, and how its answers come. */
@@ -65,4 +66,18 @@
     public val models: List<String> = emptyList(),
     /** Requests that a target runs at a time; null where only its announcement says so. */
     public val slots: Int? = null,
+    /** Bounds and prices of its targets; null where their number is not ours to order. */
+    public val spending: ServiceSpending? = null,
+)
+
+/** What may be ordered for a service, and what it costs. */
+public data class ServiceSpending(
+    /** Targets of one data centre; firm and reclaimable ones count together. */
+    public val bounds: IntRange,
+    /** Time from an order until its targets serve. */
+    public val startup: Duration,
+    /** Price of a reclaimable target as part of a firm one's; null where none are offered. */
+    public val reclaimablePrice: Double? = null,
+    /** Price of a target by data centre; the data centres in which orders are taken. */
+    public val prices: Map<DataCentre, Double> = emptyMap(),
 )
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Replica.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Replica.kt
@@ -22,4 +22,6 @@
     public val weights: Map<String, WeightVersion> = emptyMap(),
     /** Start of the process, Unix milliseconds; tells two runs under one identity apart. */
     public val startedAt: Long = 0,
+    /** True if the platform may take it away at any time, at short notice. */
+    public val reclaimable: Boolean = false,
 )
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/order/TargetSizing.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/order/TargetSizing.kt
@@ -46,9 +46,13 @@
      * [SizingPolicy.shrinkAfter], and then down to the greatest number asked for in that time. The result keeps to the
      * floor and the ceiling of [rule].
      */
-    public fun follow(demand: TargetDemand, rule: SpendingRule, policy: SizingPolicy, now: Instant): TargetSizing {
-        val needed = needed(demand, policy).coerceAtMost(rule.ceiling).coerceAtLeast(rule.floor)
-        val kept = desired.coerceAtMost(rule.ceiling)
+    public fun follow(demand: TargetDemand, rule: SpendingRule, policy: SizingPolicy, now: Instant): TargetSizing =
+        follow(demand, rule.floor..rule.ceiling, policy, now)
+
+    /** As above, with the floor and the ceiling as [bounds]. */
+    public fun follow(demand: TargetDemand, bounds: IntRange, policy: SizingPolicy, now: Instant): TargetSizing {
+        val needed = needed(demand, policy).coerceAtMost(bounds.last).coerceAtLeast(bounds.first)
+        val kept = desired.coerceAtMost(bounds.last)
         return when {
             needed >= kept -> TargetSizing(needed)
             lowSince == null -> TargetSizing(kept, lowSince = now, lowPeak = needed)
--- /dev/null
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/FleetSpreadTest.kt
@@ -0,0 +1,60 @@
+package dev.vanillarun.core.order
+
+import dev.vanillarun.core.zone.DataCentre
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.bind
+import io.kotest.property.arbitrary.boolean
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+
+private fun fleet(name: String, others: Int, price: Double = 1.0, present: Int = 0, soldOut: Boolean = false) =
+    DataCentreFleet(DataCentre(name), others, present, ceiling = 6, price, soldOut)
+
+private val rows = Arb.list(
+    Arb.bind(Arb.int(0..4), Arb.int(0..4), Arb.int(1..6), Arb.boolean()) { others, present, ceiling, soldOut ->
+        DataCentreFleet(DataCentre("x"), others, present, ceiling, 1.0, soldOut)
+    },
+    1..5,
+)
+
+class FleetSpreadTest :
+    DescribeSpec({
+        describe("a step that needs twice the firm fleet") {
+            it("gets reclaimable targets in all data centres alike") {
+                val fleets = listOf(fleet("a", 2), fleet("b", 2), fleet("c", 2))
+                spreadTargets(12, fleets).values.toList() shouldBe listOf(2, 2, 2)
+            }
+            it("gets the odd one where it is cheapest") {
+                val fleets = listOf(fleet("a", 2, price = 1.2), fleet("b", 2, price = 0.8))
+                spreadTargets(5, fleets) shouldBe mapOf(DataCentre("a") to 0, DataCentre("b") to 1)
+            }
+        }
+        describe("a data centre whose reclaimable targets were taken away") {
+            it("is made up for elsewhere while it has none to give") {
+                val fleets =
+                    listOf(fleet("a", 2, soldOut = true), fleet("b", 2, present = 2), fleet("c", 2, present = 2))
+                spreadTargets(12, fleets).values.toList() shouldBe listOf(0, 3, 3)
+            }
+        }
+        describe("any fleet") {
+            it("keeps to the ceilings, orders no more than is missing, and changes nothing where none are to be had") {
+                checkAll(rows, Arb.int(0..30)) { drawn, wanted ->
+                    val fleets = drawn.mapIndexed { at, row -> row.copy(dataCentre = DataCentre("z$at")) }
+                    val spread = spreadTargets(wanted, fleets)
+                    spread.keys shouldBe fleets.mapTo(HashSet()) { it.dataCentre }
+                    fleets.forEach {
+                        val ordered = spread.getValue(it.dataCentre)
+                        if (it.soldOut) ordered shouldBe it.present
+                        if (!it.soldOut && ordered > 0) (ordered + it.others) shouldBeLessThanOrEqual it.ceiling
+                    }
+                    val open = fleets.filter { !it.soldOut }.sumOf { spread.getValue(it.dataCentre) }
+                    val rest = fleets.sumOf { it.others } + fleets.filter { it.soldOut }.sumOf { it.present }
+                    open shouldBeLessThanOrEqual maxOf(0, wanted - rest)
+                }
+            }
+        }
+    })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -24,6 +24,7 @@
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.ControlDuty
+import dev.vanillarun.hosted.duty.FleetOrders
 import dev.vanillarun.hosted.duty.LoadInputs
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.duty.UsageBoard
@@ -131,15 +132,24 @@
         wallClock = wallClock,
         events = events,
     )
+    private val loadInputs = LoadInputs(catalog, replicas, placement, board, book)
     private val loads = WeightLoads(
         duty = duty,
         calls = ports.calls,
-        inputs = LoadInputs(catalog, replicas, placement, board, book),
+        inputs = loadInputs,
         placements = placementAppender,
         self = self,
         clock = clock,
         events = events,
     )
+    private val fleet = FleetOrders(
+        duty = duty,
+        calls = ports.calls,
+        inputs = loadInputs,
+        self = self,
+        clock = clock,
+        events = events,
+    )
     private val reporter = UsageReporter(
         duty = duty,
         calls = ports.calls,
@@ -210,6 +220,7 @@
         scope.launch { duty.run() }
         scope.launch { runner.run() }
         scope.launch { loads.run() }
+        scope.launch { fleet.run() }
         scope.launch { reporter.run() }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.log.Offset
 import dev.vanillarun.core.platform.PlatformResult
+import dev.vanillarun.core.zone.DataCentre
 
 /** Who acts on a duty, and with which fencing number. */
 public data class Authority(
@@ -64,6 +65,27 @@
     REJECTED,
 }
 
+/** Order for the number of a service's targets of one kind in a data centre. */
+public data class FleetOrder(
+    /** Service. */
+    public val service: String,
+    /** Data centre. */
+    public val dataCentre: DataCentre,
+    /** Targets of this kind that are wanted in all. */
+    public val desired: Int,
+    /** True for targets that the platform may take away again. */
+    public val reclaimable: Boolean,
+)
+
+/** Answer of the hosting platform to a [FleetOrder]. */
+public enum class FleetAnswer {
+    /** They are being started, or given up. */
+    ORDERED,
+
+    /** None are to be had at the moment. */
+    SOLD_OUT,
+}
+
 /** Calls to engines and to the hosting platform that only the holder of a duty may make. */
 public interface HostingCalls {
     /** Asks [engine] for its state; null if it does not answer. */
@@ -72,6 +94,9 @@
     /** Gives [order] to [engine]. */
     public suspend fun order(engine: Replica, order: LoadOrder, authority: Authority): PlatformResult<OrderAnswer>
 
+    /** Orders [order]'s number of targets. */
+    public suspend fun orderTargets(order: FleetOrder, authority: Authority): PlatformResult<FleetAnswer>
+
     /** Reports the requests of each customer in [window]. */
     public suspend fun reportUsage(
         window: Long,
