Pass streams of live callers on as they come

Cause: streams were read whole before the first byte reached the caller, so every stream was late, and a broken one was lost even where another target could have gone on with it. Change: StreamForwarder passes whole events on in order; a resumable stream goes on at another target after the last event, under the head of the first; any other breaks off with its target, by a closed connection.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/stream/CallerStream.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/stream/CallerStream.kt
@@ -51,10 +51,15 @@
         response?.join()
     }
 
+    /** Breaks the answer off, so that it cannot be taken for a whole one. */
+    public suspend fun breakOff() {
+        call.breakOff()
+        finish()
+    }
+
     /** Tells the caller of [error] and breaks the answer off, so that it cannot be taken for a whole one. */
     public suspend fun abort(error: ErrorAnswer, request: RequestId) {
         write("data: ${error.body(request)}\n\n".encodeToByteArray())
-        call.breakOff()
-        finish()
+        breakOff()
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -20,6 +20,7 @@
 import dev.vanillarun.daemon.agreement.DutyRunner
 import dev.vanillarun.daemon.agreement.LogAppender
 import dev.vanillarun.daemon.agreement.LogFollower
+import dev.vanillarun.daemon.caller.Connections
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
@@ -43,6 +44,7 @@
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
+import dev.vanillarun.hosted.live.StreamForwarder
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
@@ -92,6 +94,7 @@
     private val chooser = ReplicaChooser(replicas, book, gateway::isWarm, DataCentre(settings.dataCentre), clock)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(chooser, gateway, book, crashes, clock, events)
+    private val streams = StreamForwarder(chooser, gateway, ports.targets, book, crashes, clock, events)
     private val window = settings.hosting.usageWindowS.seconds
     private val meter = UsageMeter(usageAppender, window, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events)
@@ -165,6 +168,7 @@
         dialect = ports.callers,
         catalog = catalog,
         live = live,
+        streams = streams,
         jobs = JobEndpoint(ports.callers, board, jobAppender, writer, wallClock),
         usage = meter,
         calls = calls,
@@ -183,7 +187,7 @@
 
     /** Starts everything; the addresses are served, with refusals, before the first view is read. */
     public suspend fun start() {
-        servers += HttpServer.start(settings.callerAddress) { front.install(this) }
+        servers += HttpServer.start(settings.callerAddress, Connections(MAX_CALLERS)) { front.install(this) }
         servers += HttpServer.start(settings.readyAddress) {
             routing {
                 get(ports.callers.readyPath) {
@@ -275,6 +279,9 @@
         /** Age of a view from which on callers are better served elsewhere. */
         val STALE = 2.seconds
 
+        /** Connections of callers; half of the descriptors of the smallest machines in use (2,212), rounded down. */
+        const val MAX_CALLERS = 1000
+
         /** Two questions of the balancer, one a second, and the way there. */
         val NOTICE = 2500.milliseconds
         val QUIET = 300.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallerDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallerDialect.kt
@@ -68,6 +68,8 @@
     public val key: String?,
     /** Host that it named, without port. */
     public val host: String,
+    /** Number of the last event of a stream that it has received; null for a stream from its beginning. */
+    public val resumeAfter: Long? = null,
 )
 
 /** Outcome of reading a submission. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -11,15 +11,20 @@
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.daemon.forward.HeaderRules
+import dev.vanillarun.daemon.stream.CallerStream
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.LiveOutcome
 import dev.vanillarun.hosted.live.LiveRequest
+import dev.vanillarun.hosted.live.StreamForwarder
+import dev.vanillarun.hosted.live.StreamSink
 import io.ktor.http.ContentType
+import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.content.ByteArrayContent
+import io.ktor.http.headersOf
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
@@ -30,15 +35,40 @@
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
+import io.ktor.util.filter
+import kotlinx.coroutines.coroutineScope
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
+/** A caller's request, read whole. */
+private class Incoming(val head: RequestHead, val terms: CallTerms, val body: ByteArray, val received: Instant)
+
+/** The caller as the reader of a stream. */
+private class CallerSink(private val stream: CallerStream) : StreamSink {
+    override suspend fun open(status: Int, headers: Headers) {
+        val type = headers[HttpHeaders.ContentType]?.let(ContentType::parse) ?: ContentType.Text.EventStream
+        val others = headers.filter { name, _ -> !name.equals(HttpHeaders.ContentType, ignoreCase = true) }
+        stream.open(
+            type,
+            HttpStatusCode.fromValue(status),
+            headersOf(
+                *others.entries().map {
+                    it.key to it.value
+                }.toTypedArray(),
+            ),
+        )
+    }
+
+    override suspend fun event(bytes: ByteArray) = stream.write(bytes)
+}
+
 /** Serves callers: finds what they ask for, on which route and for which customer, and answers. */
 internal class FrontServer(
     private val dialect: CallerDialect,
     private val catalog: CatalogSource,
     private val live: LiveForwarder,
+    private val streams: StreamForwarder,
     private val jobs: JobEndpoint,
     private val usage: UsageMeter,
     private val calls: CallCount,
@@ -58,8 +88,7 @@
         terms.id?.let { call.response.header(dialect.idHeader, it) }
         if (calls.closing) call.response.header(HttpHeaders.Connection, "close")
         val body = call.receive<ByteArray>()
-        val reply = reply(head, terms, body, received)
-        call.send(reply)
+        val reply = answered(call, Incoming(head, terms, body, received))
         val elapsed = clock.now() - received
         calls.answered(reply.status, elapsed)
         val what = mapOf(
@@ -69,33 +98,45 @@
             "catalog" to "${catalog.catalog.value?.version}",
             "method" to head.method,
         )
-        val name = if (reply.status < FIRST_ERROR) "request.served" else "request.ended"
+        val served = reply.status < FIRST_ERROR && reply.stream != StreamEnd.BROKEN_OFF
+        val name = if (served) "request.served" else "request.ended"
         events.record(name, EventLinks(request = terms.id), what)
     }
 
-    private suspend fun reply(head: RequestHead, terms: CallTerms, body: ByteArray, received: Instant): Reply {
+    /** Answers [incoming] and says how; a stream is passed on as it comes. */
+    private suspend fun answered(call: ApplicationCall, incoming: Incoming): Reply = coroutineScope {
+        val stream = CallerStream(call, this)
+        val reply = reply(incoming, CallerSink(stream))
+        when (reply.stream) {
+            null -> call.send(reply)
+            StreamEnd.WHOLE -> stream.finish()
+            StreamEnd.BROKEN_OFF -> stream.breakOff()
+        }
+        reply
+    }
+
+    private suspend fun reply(incoming: Incoming, sink: StreamSink): Reply {
         val known = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY)
-        return when (val asked = dialect.call(head)) {
+        return when (val asked = dialect.call(incoming.head)) {
             is CallerCall.Malformed -> Reply(BAD_REQUEST, "malformed: ${asked.message}")
-            CallerCall.Request -> routed(known, head, terms, body, received)
-            else -> jobCall(asked, known, terms)
+            CallerCall.Request -> routed(known, incoming, sink)
+            else -> jobCall(asked, known, incoming.terms)
         }
     }
 
-    private suspend fun routed(
-        known: Catalog,
-        head: RequestHead,
-        terms: CallTerms,
-        body: ByteArray,
-        received: Instant,
-    ): Reply {
-        val route = known.route(terms.host, head.path)
+    private suspend fun routed(known: Catalog, incoming: Incoming, sink: StreamSink): Reply {
+        val terms = incoming.terms
+        val route = known.route(terms.host, incoming.head.path)
         val verdict = known.authorize(route, terms.key)
         return when {
             verdict !is KeyVerdict.Allowed -> certain(Reply(UNAUTHORIZED, "the key is unknown"))
+
             route == null -> certain(Reply(NOT_FOUND, "no route"))
-            route.kind == RequestKind.ROLLOUT -> jobs.submit(head, terms, route, verdict.customer, body)
-            else -> forward(head, terms, route, verdict.customer, body, received)
+
+            route.kind == RequestKind.ROLLOUT ->
+                jobs.submit(incoming.head, terms, route, verdict.customer, incoming.body)
+
+            else -> forward(incoming.toward(route, verdict.customer), sink)
         }
     }
 
@@ -111,36 +152,33 @@
     private fun certain(reply: Reply): Reply =
         if (catalog.isCurrent()) reply else Reply.notRun("not sure: ${reply.reason}", UNSURE_RETRY)
 
-    private suspend fun forward(
-        head: RequestHead,
-        terms: CallTerms,
-        route: CatalogRoute,
-        customer: CatalogCustomer?,
-        body: ByteArray,
-        received: Instant,
-    ): Reply {
-        val allowed = minOf(terms.timeLeft ?: Duration.INFINITE, route.timeout)
-        val request = LiveRequest(
-            id = terms.id.orEmpty(),
-            method = head.method,
-            uri = head.uri,
-            host = terms.host,
-            headers = HeaderRules.towardsTarget(head.headers, secret = null),
-            body = body,
-            route = route,
-            customer = customer,
-            received = received,
-            deadline = received + allowed,
-        )
-        val outcome = live.serve(request)
+    private suspend fun forward(request: LiveRequest, sink: StreamSink): Reply {
+        val isStream = request.route.kind == RequestKind.STREAM
+        val outcome = if (isStream) streams.serve(request, sink) else live.serve(request)
+        val customer = request.customer
         if (customer != null && outcome !is LiveOutcome.NotRun) usage.count(customer.id)
         return when (outcome) {
             is LiveOutcome.Whole -> Reply(outcome.status, "answered", outcome.body, outcome.headers)
-            is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(route))
+            is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(request.route))
             is LiveOutcome.Unknown -> Reply(if (outcome.late) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
+            is LiveOutcome.Streamed -> Reply.streamed(outcome)
         }
     }
 
+    private fun Incoming.toward(route: CatalogRoute, customer: CatalogCustomer?) = LiveRequest(
+        id = terms.id.orEmpty(),
+        method = head.method,
+        uri = head.uri,
+        host = terms.host,
+        headers = HeaderRules.towardsTarget(head.headers, secret = null),
+        body = body,
+        route = route,
+        customer = customer,
+        received = received,
+        deadline = received + minOf(terms.timeLeft ?: Duration.INFINITE, route.timeout),
+        resumeAfter = terms.resumeAfter.takeIf { route.resumable },
+    )
+
     /** Soon enough for a further try within the objective, late enough that a place has become free. */
     private fun retryAfter(route: CatalogRoute): Duration = route.objective / RETRIES_IN_OBJECTIVE
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -21,6 +21,8 @@
     val received: Instant,
     /** When the caller, or the operator, wants it to be over. */
     val deadline: Instant,
+    /** Number of the last event of a stream that the caller has received. */
+    val resumeAfter: Long? = null,
 ) {
     /** Stands for the content, whatever the identity of the request. */
     val fingerprint: Fingerprint by lazy { Fingerprint.of(method, uri, body) }
@@ -31,8 +33,8 @@
     /** Rank, 0 first; a customer's own goes before the route's. */
     val priority: Int get() = customer?.priority ?: route.priority
 
-    /** The request as it leaves at [now]. */
-    fun outgoing(now: Instant) = OutgoingRequest(
+    /** The request as it leaves at [now]; a stream goes on after event [after]. */
+    fun outgoing(now: Instant, after: Long? = resumeAfter) = OutgoingRequest(
         id = id,
         method = method,
         uri = uri,
@@ -42,6 +44,7 @@
         customer = customer?.id,
         timeLeft = deadline - now,
         priority = priority,
+        resumeAfter = after,
     )
 }
 
@@ -56,6 +59,9 @@
         val serverErrors: Int = 0,
     ) : LiveOutcome
 
+    /** The answer was passed on event by event, [complete] or broken off after event [last]. */
+    data class Streamed(val last: Long, val complete: Boolean, val reason: String) : LiveOutcome
+
     /** No target has run it, and none will. */
     data class NotRun(val reason: String) : LiveOutcome
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -21,6 +21,9 @@
     /** Answers with [status]. */
     data class Answers(val status: Int = 200, val notRun: Boolean = false) : Behaviour
 
+    /** Answers with a stream of [events] events that goes on where it is asked to, and breaks off after [breakAfter]. */
+    data class Streams(val events: Long = 5, val breakAfter: Long? = null, val signature: String = "s") : Behaviour
+
     /** Answers to another request. */
     data object Crosses : Behaviour
 
@@ -49,6 +52,7 @@
         val id = request.headers["id"].orEmpty()
         return when (val behaviour = behaviours[address] ?: Behaviour.Answers()) {
             is Behaviour.Answers -> Exchange.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
+            is Behaviour.Streams -> Exchange.Answered(handle(stream(behaviour, request.headers)))
             Behaviour.Crosses -> Exchange.Answered(handle(answer(200, "other", notRun = false)))
             Behaviour.Breaks -> Exchange.Broken("broke off")
             Behaviour.IsSilent -> awaitCancellation()
@@ -62,7 +66,17 @@
         return TargetAnswer(status, headers, AnswerBody { parts.removeFirstOrNull() ?: BodyPart.End(clean = true) })
     }
 
-    override fun headers(request: OutgoingRequest, replica: Replica): Headers = headersOf("id", request.id)
+    private fun stream(behaviour: Behaviour.Streams, asked: Headers): TargetAnswer {
+        val first = (asked["after"]?.toLong() ?: 0) + 1
+        val last = behaviour.breakAfter ?: behaviour.events
+        val parts = ArrayDeque((first..last).map<Long, BodyPart> { BodyPart.Bytes("id: $it\n\n".encodeToByteArray()) })
+        parts += BodyPart.End(clean = behaviour.breakAfter == null)
+        val headers = headersOf("id" to listOf(asked["id"].orEmpty()), "signature" to listOf(behaviour.signature))
+        return TargetAnswer(200, headers, AnswerBody { parts.removeFirst() })
+    }
+
+    override fun headers(request: OutgoingRequest, replica: Replica): Headers =
+        headersOf("id" to listOf(request.id), "after" to listOf("${request.resumeAfter ?: 0}"))
 
     override fun head(status: Int, headers: Headers) = AnswerHead(
         status = status,
@@ -73,7 +87,8 @@
         load = null,
     )
 
-    override fun event(text: String): SampleEvent? = null
+    override fun event(text: String): SampleEvent? =
+        text.trim().removePrefix("id: ").toLongOrNull()?.let { SampleEvent(it, "") }
 
     override fun close() = Unit
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -63,30 +63,11 @@
 
 class LiveForwarderTest :
     DescribeSpec({
-        class Setting(val targets: FakeTargets, val live: LiveForwarder)
-
-        suspend fun with(count: Int, test: suspend Setting.() -> Unit): Unit = coroutineScope {
-            val log = FakeTopicLog()
-            repeat(count) { FakeCodec.announce(log, "t$it", "desk ready") }
-            val replicas = ReplicaSource(log, FakeCodec, SystemClock, NoEvents)
-            launch { replicas.follower.run() }
-            replicas.replicas.first { it.size == count }
-            val targets = FakeTargets()
-            val book = TargetBook(SystemClock)
-            val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p")
-            launch { appender.run() }
-            val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoEvents)
-            val gateway = TargetGateway(targets, targets, book)
-            val chooser = ReplicaChooser(replicas, book, gateway::isWarm, DataCentre("z"), SystemClock)
-            Setting(targets, LiveForwarder(chooser, gateway, book, crashes, SystemClock, NoEvents)).test()
-            coroutineContext.cancelChildren()
-        }
-
         fun FakeTargets.all(count: Int, behaviour: Behaviour) = repeat(count) { behaviours["t$it:80"] = behaviour }
 
         describe("a repeatable call on a day on which targets fall silent without a reset") {
             it("is answered by a second target long before its deadline") {
-                with(2) {
+                withTargets(2) {
                     targets.behaviours["t0:80"] = Behaviour.IsSilent
                     repeat(6) {
                         val begun = SystemClock.now()
@@ -96,7 +77,7 @@
                 }
             }
             it("asks no more targets than its route allows") {
-                with(5) {
+                withTargets(5) {
                     targets.all(5, Behaviour.IsSilent)
                     val outcome = live.serve(
                         request(route(RequestKind.IDEMPOTENT, attempts = 2), within = 600.milliseconds),
@@ -109,7 +90,7 @@
 
         describe("a call whose targets fail") {
             it("gets an answer of another one, or the failure itself") {
-                with(2) {
+                withTargets(2) {
                     targets.behaviours["t0:80"] = Behaviour.Answers(500)
                     repeat(4) {
                         live.serve(
@@ -133,7 +114,7 @@
                     Behaviour.Crosses to false,
                 )
                     .forEach { (behaviour, notRun) ->
-                        with(3) {
+                        withTargets(3) {
                             targets.all(3, behaviour)
                             val outcome = live.serve(request(route(RequestKind.NON_IDEMPOTENT)))
                             (outcome is LiveOutcome.NotRun) shouldBe notRun
@@ -143,7 +124,7 @@
             }
             it("is never sent a second time after it may have run, if it may run once") {
                 listOf(Behaviour.Breaks, Behaviour.Crosses, Behaviour.Answers(500)).forEach { behaviour ->
-                    with(3) {
+                    withTargets(3) {
                         targets.all(3, behaviour)
                         live.serve(request(route(RequestKind.NON_IDEMPOTENT)))
                         targets.sent shouldHaveSize 1
@@ -151,7 +132,7 @@
                 }
             }
             it("is refused at once while all targets are full") {
-                with(2) {
+                withTargets(2) {
                     targets.all(2, Behaviour.Answers(503, notRun = true))
                     repeat(3) { live.serve(request(route(RequestKind.IDEMPOTENT))) }
                     val sends = targets.sent.size
@@ -164,7 +145,7 @@
 
         describe("a request at which target after target breaks off") {
             it("is refused after three targets, whoever sends it again; others go on") {
-                with(6) {
+                withTargets(6) {
                     targets.all(6, Behaviour.Breaks)
                     repeat(3) { live.serve(request(route(RequestKind.IDEMPOTENT), body = "poison", id = "p$it")) }
                     val sends = targets.sent.size
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveSetting.kt
@@ -0,0 +1,41 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.time.SystemClock
+import dev.vanillarun.core.timeline.NoEvents
+import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.fake.FakeCodec
+import dev.vanillarun.hosted.fake.FakeTargets
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.TargetBook
+import dev.vanillarun.hosted.target.TargetGateway
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+
+/** What serves live calls, before targets in memory. */
+internal class LiveSetting(val targets: FakeTargets, val live: LiveForwarder, val streams: StreamForwarder)
+
+/** Runs [test] before [count] targets of the service `desk`, `t0:80` and so on. */
+internal suspend fun withTargets(count: Int, test: suspend LiveSetting.() -> Unit): Unit = coroutineScope {
+    val log = FakeTopicLog()
+    repeat(count) { FakeCodec.announce(log, "t$it", "desk ready") }
+    val replicas = ReplicaSource(log, FakeCodec, SystemClock, NoEvents)
+    launch { replicas.follower.run() }
+    replicas.replicas.first { it.size == count }
+    val targets = FakeTargets()
+    val book = TargetBook(SystemClock)
+    val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p")
+    launch { appender.run() }
+    val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoEvents)
+    val gateway = TargetGateway(targets, targets, book)
+    val chooser = ReplicaChooser(replicas, book, gateway::isWarm, DataCentre("z"), SystemClock)
+    val live = LiveForwarder(chooser, gateway, book, crashes, SystemClock, NoEvents)
+    val streams = StreamForwarder(chooser, gateway, targets, book, crashes, SystemClock, NoEvents)
+    LiveSetting(targets, live, streams).test()
+    coroutineContext.cancelChildren()
+}
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -0,0 +1,136 @@
+package dev.vanillarun.hosted.live
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.time.SystemClock
+import dev.vanillarun.hosted.fake.Behaviour
+import dev.vanillarun.hosted.fake.FakeTargets
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.ktor.http.Headers
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A caller that keeps what it is given. */
+private class Reader : StreamSink {
+    val heads = mutableListOf<Headers>()
+    val events = mutableListOf<String>()
+
+    override suspend fun open(status: Int, headers: Headers) {
+        heads += headers
+    }
+
+    override suspend fun event(bytes: ByteArray) {
+        events += bytes.decodeToString().trim()
+    }
+}
+
+private fun stream(resumable: Boolean, within: Duration = 5.seconds, after: Long? = null): LiveRequest {
+    val now = SystemClock.now()
+    val route = CatalogRoute(
+        name = "r",
+        host = "h",
+        pathPrefix = "/",
+        kind = RequestKind.STREAM,
+        services = listOf(ServiceShare("desk")),
+        timeout = 5.seconds,
+        objective = 100.milliseconds,
+        maxAttempts = 3,
+        resumable = resumable,
+    )
+    return LiveRequest(
+        id = "r1",
+        method = "POST",
+        uri = "/x",
+        host = "h",
+        headers = Headers.Empty,
+        body = "b".encodeToByteArray(),
+        route = route,
+        customer = null,
+        received = now,
+        deadline = now + within,
+        resumeAfter = after,
+    )
+}
+
+private val whole = (1..5).map { "id: $it" }
+
+class StreamForwarderTest :
+    DescribeSpec({
+        fun FakeTargets.all(count: Int, behaviour: Behaviour) = repeat(count) { behaviours["t$it:80"] = behaviour }
+
+        describe("a stream that may be resumed") {
+            it("goes on at another target after the last event, under the head of the first") {
+                withTargets(2) {
+                    targets.behaviours["t0:80"] = Behaviour.Streams(breakAfter = 2, signature = "s0")
+                    targets.behaviours["t1:80"] = Behaviour.Streams(breakAfter = 3, signature = "s1")
+                    val reader = Reader()
+                    val outcome = streams.serve(stream(resumable = true), reader)
+                    outcome.shouldBeInstanceOf<LiveOutcome.Streamed>().complete shouldBe false
+                    reader.heads shouldHaveSize 1
+                    reader.events shouldBe whole.take(reader.events.size)
+                }
+                withTargets(2) {
+                    targets.behaviours["t0:80"] = Behaviour.Breaks
+                    targets.behaviours["t1:80"] = Behaviour.Streams()
+                    val reader = Reader()
+                    streams.serve(stream(resumable = true), reader) shouldBe LiveOutcome.Streamed(5, true, "whole")
+                    reader.events shouldBe whole
+                }
+            }
+            it("goes on elsewhere on a day on which targets fall silent or fail") {
+                listOf(Behaviour.IsSilent, Behaviour.Answers(500), Behaviour.Crosses).forEach { behaviour ->
+                    withTargets(2) {
+                        targets.behaviours["t0:80"] = behaviour
+                        targets.behaviours["t1:80"] = Behaviour.Streams()
+                        val reader = Reader()
+                        streams.serve(stream(resumable = true), reader) shouldBe LiveOutcome.Streamed(5, true, "whole")
+                        reader.events shouldBe whole
+                    }
+                }
+            }
+            it("begins after the event that its caller has received last") {
+                withTargets(1) {
+                    targets.all(1, Behaviour.Streams())
+                    val reader = Reader()
+                    streams.serve(stream(resumable = true, after = 3), reader)
+                    reader.events shouldBe whole.drop(3)
+                }
+            }
+        }
+
+        describe("a stream that may run once") {
+            it("is broken off with its target, and never sent a second time") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.Streams(breakAfter = 2))
+                    val reader = Reader()
+                    val outcome = streams.serve(stream(resumable = false), reader)
+                    outcome.shouldBeInstanceOf<LiveOutcome.Streamed>().complete shouldBe false
+                    reader.events shouldBe whole.take(2)
+                    targets.sent shouldHaveSize 1
+                }
+            }
+            it("may have run if its target broke off before an answer, and has not if all refused") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.Breaks)
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.Unknown>()
+                    targets.sent shouldHaveSize 1
+                }
+                withTargets(3) {
+                    targets.all(3, Behaviour.Answers(503, notRun = true))
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.NotRun>()
+                }
+            }
+            it("ends at its time, whole or not") {
+                withTargets(1) {
+                    targets.all(1, Behaviour.IsSilent)
+                    streams.serve(stream(resumable = false, within = 50.milliseconds), Reader())
+                        .shouldBeInstanceOf<LiveOutcome.Unknown>().late shouldBe true
+                }
+            }
+        }
+    })
