Keep firm targets in place while a fleet grows; order on a current list only

Found by reading. Where no reclaimable targets are offered, the spread would have evened firm ones out over data centres, giving up some that serve; and a holder with an old list would have ordered what is there already. A media type that cannot be read no longer fails a stream. Test: FleetSpreadTest, a service that has firm targets only.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/order/FleetSpread.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/order/FleetSpread.kt
@@ -10,6 +10,8 @@
     public val others: Int,
     /** Targets of the ordered kind at present. */
     public val present: Int,
+    /** Targets of the ordered kind that stay where they are, whatever the spread. */
+    public val kept: Int = 0,
     /** Targets of both kinds that are allowed. */
     public val ceiling: Int,
     /** Price of a target. */
@@ -27,7 +29,7 @@
  */
 public fun spreadTargets(wanted: Int, fleets: List<DataCentreFleet>): Map<DataCentre, Int> {
     val open = fleets.filter { !it.soldOut }
-    val assigned = fleets.associateTo(LinkedHashMap()) { it.dataCentre to if (it.soldOut) it.present else 0 }
+    val assigned = fleets.associateTo(LinkedHashMap()) { it.dataCentre to if (it.soldOut) it.present else it.kept }
     var missing = wanted - fleets.sumOf { it.others } - assigned.values.sum()
     while (missing > 0) {
         val next = open.filter { it.others + assigned.getValue(it.dataCentre) < it.ceiling }
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/FleetSpreadTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/FleetSpreadTest.kt
@@ -12,11 +12,11 @@
 import io.kotest.property.checkAll
 
 private fun fleet(name: String, others: Int, price: Double = 1.0, present: Int = 0, soldOut: Boolean = false) =
-    DataCentreFleet(DataCentre(name), others, present, ceiling = 6, price, soldOut)
+    DataCentreFleet(DataCentre(name), others, present, ceiling = 6, price = price, soldOut = soldOut)
 
 private val rows = Arb.list(
     Arb.bind(Arb.int(0..4), Arb.int(0..4), Arb.int(1..6), Arb.boolean()) { others, present, ceiling, soldOut ->
-        DataCentreFleet(DataCentre("x"), others, present, ceiling, 1.0, soldOut)
+        DataCentreFleet(DataCentre("x"), others, present, ceiling = ceiling, price = 1.0, soldOut = soldOut)
     },
     1..5,
 )
@@ -40,6 +40,13 @@
                 spreadTargets(12, fleets).values.toList() shouldBe listOf(0, 3, 3)
             }
         }
+        describe("a service that has firm targets only") {
+            it("keeps each where it is while the fleet grows") {
+                val fleets =
+                    listOf(fleet("a", 0).copy(present = 4, kept = 4), fleet("b", 0).copy(present = 1, kept = 1))
+                spreadTargets(7, fleets).values.toList() shouldBe listOf(4, 3)
+            }
+        }
         describe("any fleet") {
             it("keeps to the ceilings, orders no more than is missing, and changes nothing where none are to be had") {
                 checkAll(rows, Arb.int(0..30)) { drawn, wanted ->
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetOrders.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetOrders.kt
@@ -27,7 +27,7 @@
  * Orders engines as the jobs demand; acts only while this instance holds the duty.
  *
  * Items of jobs go on elsewhere after their last event, so what is added to the fleet is reclaimable where such targets
- * are offered. Firm targets stay as they are.
+ * are offered, and firm ones stay as they are. Where only firm ones are to be had, those that are there are not moved.
  */
 internal class FleetOrders(
     private val duty: ControlDuty,
@@ -54,7 +54,8 @@
 
     private suspend fun act() {
         if (duty.heldTerm != term) startTerm()
-        val catalog = inputs.catalog.catalog.value ?: return
+        val isCurrent = inputs.replicas.follower.age(clock.now())?.let { it < CURRENT } ?: false
+        val catalog = inputs.catalog.catalog.value?.takeIf { isCurrent } ?: return
         catalog.services.values.filter { it.models.isNotEmpty() }
             .forEach { service -> service.spending?.let { follow(catalog, service, it) } }
     }
@@ -77,8 +78,8 @@
         val bounds = spending.bounds.first * places.size..spending.bounds.last * places.size
         val sizing = (sizings[service.name] ?: TargetSizing(engines.size)).follow(demand, bounds, Sizing, clock.now())
         sizings[service.name] = sizing
-        val reclaimable = spending.reclaimablePrice != null
-        val fleets = places.map { fleet(Subject(service.name, it), spending, engines, reclaimable) }
+        val grows = sizing.desired >= engines.size
+        val fleets = places.map { fleet(Subject(service.name, it), spending, engines, grows) }
         val wanted = spreadTargets(sizing.desired, fleets)
         fleets.forEach { settle(Subject(service.name, it.dataCentre), it, wanted.getValue(it.dataCentre), spending) }
     }
@@ -92,12 +93,15 @@
             if (job != null && leads) job.items.size - view.results.size else 0
         }.toDouble()
 
-    private fun fleet(subject: Subject, spending: ServiceSpending, engines: List<Replica>, reclaimable: Boolean) =
+    private fun fleet(subject: Subject, spending: ServiceSpending, engines: List<Replica>, grows: Boolean) =
         engines.filter { it.dataCentre == subject.dataCentre }.let { here ->
+            val reclaimable = spending.reclaimablePrice != null
+            val present = here.count { it.reclaimable == reclaimable }
             DataCentreFleet(
                 dataCentre = subject.dataCentre,
-                others = here.count { it.reclaimable != reclaimable },
-                present = here.count { it.reclaimable == reclaimable },
+                others = here.size - present,
+                present = present,
+                kept = if (grows && !reclaimable) present else 0,
                 ceiling = spending.bounds.last,
                 price = spending.prices[subject.dataCentre] ?: FULL_PRICE,
                 soldOut = isPaused(subject),
@@ -133,6 +137,9 @@
     private companion object {
         val TICK = 250.milliseconds
 
+        /** Age up to which the list of targets is good enough to order others. */
+        val CURRENT = 900.milliseconds
+
         /** Longest call of an order; has to fit into what is left of the lease. */
         val ORDER_TIME = 600.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -19,12 +19,13 @@
 import dev.vanillarun.hosted.live.LiveRequest
 import dev.vanillarun.hosted.live.StreamForwarder
 import dev.vanillarun.hosted.live.StreamSink
+import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
+import io.ktor.http.HeadersBuilder
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.content.ByteArrayContent
-import io.ktor.http.headersOf
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
@@ -35,7 +36,6 @@
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
-import io.ktor.util.filter
 import kotlinx.coroutines.coroutineScope
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -44,20 +44,18 @@
 /** A caller's request, read whole. */
 private class Incoming(val head: RequestHead, val terms: CallTerms, val body: ByteArray, val received: Instant)
 
+/** Media type that a target named; null if it named none, or nothing that can be one. */
+private fun Headers.mediaType(): ContentType? = try {
+    this[HttpHeaders.ContentType]?.let(ContentType::parse)
+} catch (_: BadContentTypeFormatException) {
+    null
+}
+
 /** The caller as the reader of a stream. */
 private class CallerSink(private val stream: CallerStream) : StreamSink {
     override suspend fun open(status: Int, headers: Headers) {
-        val type = headers[HttpHeaders.ContentType]?.let(ContentType::parse) ?: ContentType.Text.EventStream
-        val others = headers.filter { name, _ -> !name.equals(HttpHeaders.ContentType, ignoreCase = true) }
-        stream.open(
-            type,
-            HttpStatusCode.fromValue(status),
-            headersOf(
-                *others.entries().map {
-                    it.key to it.value
-                }.toTypedArray(),
-            ),
-        )
+        val others = HeadersBuilder().apply { appendAll(headers) }.apply { remove(HttpHeaders.ContentType) }.build()
+        stream.open(headers.mediaType() ?: ContentType.Text.EventStream, HttpStatusCode.fromValue(status), others)
     }
 
     override suspend fun event(bytes: ByteArray) = stream.write(bytes)
@@ -189,8 +187,7 @@
         reply.retryAfter?.let {
             response.header(HttpHeaders.RetryAfter, it.toString(DurationUnit.SECONDS, decimals = 2).removeSuffix("s"))
         }
-        val type = reply.headers[HttpHeaders.ContentType]?.let { runCatching { ContentType.parse(it) }.getOrNull() }
-        respond(ByteArrayContent(reply.body, type, HttpStatusCode.fromValue(reply.status)))
+        respond(ByteArrayContent(reply.body, reply.headers.mediaType(), HttpStatusCode.fromValue(reply.status)))
     }
 
     private companion object {
