Ask a second target for a reward only after its whole objective

Nobody waits for a single reward: a step is due in seconds. Ruled out: idle time-outs of the servers; hardly any connection was found closed while idle. Change: LiveRequest says after what time a second target is asked; reward calls say their whole objective. Test: LiveForwarderTest, one target while nobody waits and two after that.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -48,6 +48,10 @@
         }
     }
 
+    /**
+     * Nobody waits for one reward: a second target is asked only once the whole objective has passed. Each that is asked
+     * in vain takes a place at a service that live callers share, and ends with a connection that is given up.
+     */
     private fun request(call: RewardCall, route: CatalogRoute): LiveRequest {
         val now = clock.now()
         return LiveRequest(
@@ -61,6 +65,7 @@
             customer = null,
             received = now,
             deadline = now + route.timeout,
+            hedgeAfter = route.objective,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -19,7 +19,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Serves requests whose answer is passed on whole.
@@ -106,7 +105,7 @@
         private fun hedgeAfter(): Duration {
             val mayHedge =
                 request.repeatable && mayHaveRun + underWay < request.route.maxAttempts && tried.size < MAX_SENDS
-            return if (mayHedge) maxOf(request.route.objective * HEDGE_PART, SHORTEST_HEDGE) else Duration.INFINITE
+            return if (mayHedge) request.hedgeAfter else Duration.INFINITE
         }
 
         private fun start() {
@@ -170,10 +169,6 @@
         /** Targets that are asked at most, counted with those that had no room. */
         const val MAX_SENDS = 4
 
-        /** Part of the objective after which a second target is asked. */
-        const val HEDGE_PART = 0.5
-        val SHORTEST_HEDGE = 40.milliseconds
-
         /** Longest answer that is held whole. */
         const val MAX_ANSWER_BYTES = 32 * 1024 * 1024
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -7,6 +7,8 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.hosted.target.OutgoingRequest
 import io.ktor.http.Headers
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A request of a live caller, with route and customer found. */
 internal class LiveRequest(
@@ -23,6 +25,8 @@
     val deadline: Instant,
     /** Number of the last event of a stream that the caller has received. */
     val resumeAfter: Long? = null,
+    /** Time without an answer after which a second target is asked, if the request may be repeated. */
+    val hedgeAfter: Duration = maxOf(route.objective * HEDGE_PART, SHORTEST_HEDGE),
 ) {
     /** Stands for the content, whatever the identity of the request. */
     val fingerprint: Fingerprint by lazy { Fingerprint.of(method, uri, body) }
@@ -46,6 +50,12 @@
         priority = priority,
         resumeAfter = after,
     )
+
+    private companion object {
+        /** Part of the objective after which a second target is asked while a caller waits. */
+        const val HEDGE_PART = 0.5
+        val SHORTEST_HEDGE = 40.milliseconds
+    }
 }
 
 /** What a live caller gets. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -45,6 +45,7 @@
     within: Duration = 5.seconds,
     body: String = "b",
     id: String = "r1",
+    hedgeAfter: Duration = route.objective / 2,
 ): LiveRequest {
     val now = SystemClock.now()
     return LiveRequest(
@@ -58,6 +59,7 @@
         customer = null,
         received = now,
         deadline = now + within,
+        hedgeAfter = hedgeAfter,
     )
 }
 
@@ -76,6 +78,20 @@
                     }
                 }
             }
+            it("asks one target only for as long as nobody waits, and two after that") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.IsSilent)
+                    val patient =
+                        request(route(RequestKind.IDEMPOTENT), within = 300.milliseconds, hedgeAfter = 5.seconds)
+                    live.serve(patient)
+                    targets.sent shouldHaveSize 1
+                }
+                withTargets(2) {
+                    targets.all(2, Behaviour.IsSilent)
+                    live.serve(request(route(RequestKind.IDEMPOTENT), within = 300.milliseconds))
+                    targets.sent shouldHaveSize 2
+                }
+            }
             it("asks no more targets than its route allows") {
                 withTargets(5) {
                     targets.all(5, Behaviour.IsSilent)
