--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/FleetSpreadTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/order/DataCentreFleetTest.kt
@@ -21,7 +21,7 @@
     1..5,
 )
 
-class FleetSpreadTest :
+class DataCentreFleetTest :
     DescribeSpec({
         describe("a step that needs twice the firm fleet") {
             it("gets reclaimable targets in all data centres alike") {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetOrders.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetOrders.kt
@@ -143,7 +143,7 @@
         /** Longest call of an order; has to fit into what is left of the lease. */
         val ORDER_TIME = 600.milliseconds
 
-        /** Items of a step that a place at an engine is to run one after the other; a step takes several times as long. */
+        /** Items of a step that a place at an engine is to run one after the other, within an objective of seconds. */
         const val ITEMS_A_SLOT = 1.0
 
         /** All places may be taken while a step runs: its items are what is counted, and none comes on top. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Nobody waits for one reward: a second target is asked only once the whole objective has passed. Each that is asked
-     * in vain takes a place at a service that live callers share, and ends with a connection that is given up.
+     * Nobody waits for one reward, so a second target is asked only once the whole objective has passed: each that is
+     * asked in vain takes a place at a service that live callers share, and ends with a connection that is given up.
      */
     private fun request(call: RewardCall, route: CatalogRoute): LiveRequest {
         val now = clock.now()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -82,11 +82,10 @@
         private var reason = "no target is known"
 
         suspend fun run(): LiveOutcome {
-            while (mayHaveRun < request.route.maxAttempts && refusals < MAX_REFUSALS) {
-                val replica = chooser.choose(request.route, tried + crashes.crashedTargets(request)) ?: break
-                tried += replica.id
-                if (!goesOn(attempt(replica))) break
-            }
+            do {
+                val replica = next()
+                val goesOn = replica != null && goesOn(attempt(replica))
+            } while (goesOn)
             val answered = failure
             return when {
                 opened -> LiveOutcome.Streamed(last, whole, reason)
@@ -96,6 +95,14 @@
             }
         }
 
+        /** A target that may still be asked, or null. */
+        private fun next(): Replica? {
+            val spent = mayHaveRun >= request.route.maxAttempts || refusals >= MAX_REFUSALS
+            val replica = if (spent) null else chooser.choose(request.route, tried + crashes.crashedTargets(request))
+            replica?.let { tried += it.id }
+            return replica
+        }
+
         /** True if another target should be asked after one [ended]. */
         private fun goesOn(ended: Ended): Boolean {
             reason = ended.word()
@@ -174,16 +181,14 @@
 
         private suspend fun events(answer: OpenedAnswer, activity: Activity, replica: Replica): Ended {
             val splitter = EventSplitter()
-            while (true) {
-                val part = answer.body.next()
-                if (part is BodyPart.Bytes) {
-                    activity.seen()
-                    splitter.feed(part.bytes).forEach { event -> take(event, replica)?.let { return it } }
-                } else {
-                    val whole = part == BodyPart.End(clean = true) && splitter.pending == 0
-                    return if (whole) Ended.Whole else Ended.Broken("the stream broke off")
-                }
+            var part = answer.body.next()
+            while (part is BodyPart.Bytes) {
+                activity.seen()
+                splitter.feed(part.bytes).firstNotNullOfOrNull { take(it, replica) }?.let { return it }
+                part = answer.body.next()
             }
+            val whole = part == BodyPart.End(clean = true) && splitter.pending == 0
+            return if (whole) Ended.Whole else Ended.Broken("the stream broke off")
         }
 
         /** Passes [bytes] on if it is the next event. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -21,7 +21,7 @@
     /** Answers with [status]. */
     data class Answers(val status: Int = 200, val notRun: Boolean = false) : Behaviour
 
-    /** Answers with a stream of [events] events that goes on where it is asked to, and breaks off after [breakAfter]. */
+    /** Answers with a stream of [events] events, from where it is asked to; breaks off after [breakAfter]. */
     data class Streams(val events: Long = 5, val breakAfter: Long? = null, val signature: String = "s") : Behaviour
 
     /** Answers to another request. */
