Count a stream that its target breaks off midway among what may crash targets

Cause: found by reading: only an exchange that broke off before its answer was counted, so a request whose stream crashes target after target would have been let through for ever. Test: StreamForwarderTest, is refused after it broke off at three targets: red before the change (a fourth target was asked), green after it.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -57,8 +57,8 @@
         /** The target has not run the request. */
         class NotRun(val reason: String) : Ended
 
-        /** The target may have run the request, and more than what was passed on. */
-        class Broken(val reason: String) : Ended
+        /** The target may have run more than was passed on; [byTarget] if it was the one that broke the exchange off. */
+        class Broken(val reason: String, val byTarget: Boolean = false) : Ended
     }
 
     /** Serves [request] into [sink]. */
@@ -131,16 +131,8 @@
         }
 
         fun late(): LiveOutcome {
-            val time = "no whole answer in time"
-            return if (opened) {
-                LiveOutcome.Streamed(
-                    last,
-                    complete = false,
-                    time,
-                )
-            } else {
-                LiveOutcome.Unknown(time, late = true)
-            }
+            val why = "no whole answer in time"
+            return if (opened) LiveOutcome.Streamed(last, false, why) else LiveOutcome.Unknown(why, late = true)
         }
 
         private suspend fun attempt(replica: Replica): Ended {
@@ -159,8 +151,9 @@
                 null -> Ended.Broken("nothing was received for $STALL").also { book.failed(replica) }
                 is Sent.Answered -> sent.value
                 is Sent.NotRun -> Ended.NotRun(sent.reason)
-                is Sent.Unknown -> Ended.Broken(sent.reason).also { crashes.brokeOff(request, replica) }
+                is Sent.Unknown -> Ended.Broken(sent.reason, byTarget = true)
             }
+            if (ended is Ended.Broken && ended.byTarget) crashes.brokeOff(request, replica)
             if (ended == Ended.Whole) crashes.completed(request) else note(replica, ended, after, clock.now() - begun)
             return ended
         }
@@ -188,7 +181,7 @@
                 part = answer.body.next()
             }
             val whole = part == BodyPart.End(clean = true) && splitter.pending == 0
-            return if (whole) Ended.Whole else Ended.Broken("the stream broke off")
+            return if (whole) Ended.Whole else Ended.Broken("the stream broke off", byTarget = true)
         }
 
         /** Passes [bytes] on if it is the next event. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -125,6 +125,15 @@
                     streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.NotRun>()
                 }
             }
+            it("is refused after it broke off at three targets, whoever sends it again") {
+                withTargets(6) {
+                    targets.all(6, Behaviour.Streams(breakAfter = 2))
+                    repeat(3) { streams.serve(stream(resumable = false), Reader()) }
+                    val sends = targets.sent.size
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.NotRun>()
+                    targets.sent shouldHaveSize sends
+                }
+            }
             it("ends at its time, whole or not") {
                 withTargets(1) {
                     targets.all(1, Behaviour.IsSilent)
