--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -57,7 +57,7 @@
         /** The target has not run the request. */
         class NotRun(val reason: String) : Ended
 
-        /** The target may have run more than was passed on; [byTarget] if it was the one that broke the exchange off. */
+        /** The target may have run more than was passed on; [byTarget] if it broke the exchange off. */
         class Broken(val reason: String, val byTarget: Boolean = false) : Ended
     }
 
