--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -3,10 +3,6 @@
 import dev.vanillarun.core.store.TopicRecord
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import java.io.ByteArrayOutputStream
-import java.io.IOException
-import java.util.zip.GZIPInputStream
-import java.util.zip.GZIPOutputStream
 
 /**
  * Records of jobs as the store keeps them.
@@ -18,22 +14,12 @@
     private const val FINISHED = "result"
     private const val ENDED = "end"
     private const val KEY_PARTS = 2
-
-    /** Bytes from which a job is compressed; a store may take records of 256 KB at most. */
-    private const val PACKED_FROM = 100_000
-
-    /** First bytes of the gzip format; text in JSON begins otherwise. */
-    private const val GZIP_FIRST: Byte = 0x1f
-    private const val GZIP_SECOND: Byte = 0x8b.toByte()
     private val json = Json { ignoreUnknownKeys = true }
 
     /** The record that [record] is kept as; [writer] is unique to this run of the process. */
     public fun encode(record: JobRecord, writer: String): TopicRecord = when (record) {
         is JobRecord.Submitted ->
-            TopicRecord(
-                "$SUBMITTED/${record.job}",
-                packed(json.encodeToString(Job.serializer(), record.content).bytes()),
-            )
+            TopicRecord("$SUBMITTED/${record.job}", json.encodeToString(Job.serializer(), record.content).bytes())
 
         is JobRecord.Finished -> TopicRecord(
             "$FINISHED/${record.job}/${record.result.item}/$writer",
@@ -50,9 +36,7 @@
         val job = JobId(parts[1])
         return try {
             when (parts[0]) {
-                SUBMITTED -> JobRecord.Submitted(
-                    json.decodeFromString(Job.serializer(), unpacked(value).decodeToString()),
-                )
+                SUBMITTED -> JobRecord.Submitted(json.decodeFromString(Job.serializer(), value.decodeToString()))
 
                 FINISHED ->
                     JobRecord.Finished(job, json.decodeFromString(ItemResult.serializer(), value.decodeToString()))
@@ -63,23 +47,8 @@
             }
         } catch (_: SerializationException) {
             null
-        } catch (_: IOException) {
-            null
         }
     }
 
-    /** Bodies are Base64, so compression makes a large job a third smaller, or better. */
-    private fun packed(text: ByteArray): ByteArray {
-        if (text.size < PACKED_FROM) return text
-        val out = ByteArrayOutputStream()
-        GZIPOutputStream(out).use { it.write(text) }
-        return out.toByteArray()
-    }
-
-    private fun unpacked(value: ByteArray): ByteArray {
-        val isPacked = value.size > 1 && value[0] == GZIP_FIRST && value[1] == GZIP_SECOND
-        return if (isPacked) GZIPInputStream(value.inputStream()).use { it.readBytes() } else value
-    }
-
     private fun String.bytes() = encodeToByteArray()
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -4,10 +4,10 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.job.JobId
 import dev.vanillarun.core.job.JobRecord
-import dev.vanillarun.core.job.JobRecordCodec
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.store.TopicAppend
 import dev.vanillarun.hosted.job.JobBoard
+import dev.vanillarun.hosted.job.JobRecords
 import dev.vanillarun.hosted.job.Lookup
 import dev.vanillarun.hosted.store.DurableAppender
 import io.ktor.http.ContentType
@@ -78,7 +78,7 @@
     }
 
     private suspend fun append(record: JobRecord, patience: Duration, done: Int): Reply =
-        when (val outcome = appender.offer(JobRecordCodec.encode(record, writer), patience)) {
+        when (val outcome = appender.offer(JobRecords.encode(record, writer), patience)) {
             TopicAppend.Done -> Reply(done, "recorded")
             is TopicAppend.Refused -> Reply.notRun(outcome.reason, STORE_RETRY)
             is TopicAppend.InDoubt -> Reply(GATEWAY_TIMEOUT, outcome.reason)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -2,7 +2,6 @@
 
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.JobId
-import dev.vanillarun.core.job.JobRecordCodec
 import dev.vanillarun.core.job.JobTable
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.store.StoredTopicRecord
@@ -56,7 +55,7 @@
     }
 
     private fun fold(table: JobTable, stored: StoredTopicRecord): JobTable {
-        val record = JobRecordCodec.decode(stored.key, stored.value)
+        val record = JobRecords.decode(stored.key, stored.value)
         if (record == null && stored.value != null) {
             events.record("job.record_ignored", EventLinks(offset = stored.offset), mapOf("key" to stored.key))
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -10,7 +10,6 @@
 import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobId
 import dev.vanillarun.core.job.JobRecord
-import dev.vanillarun.core.job.JobRecordCodec
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
@@ -253,7 +252,7 @@
             versions = if (whole) transcript.versions.sorted() else emptyList(),
             score = score,
         )
-        appender.keep(JobRecordCodec.encode(JobRecord.Finished(task.job.id, result), writer))
+        appender.keep(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
         note("item.recorded", task, "state" to state.name.lowercase(), "versions" to "${result.versions}")
     }
 
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobRecordsTest.kt
@@ -0,0 +1,55 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
+import dev.vanillarun.core.job.JobRecord
+import dev.vanillarun.core.job.RewardCall
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import java.util.Base64
+import kotlin.random.Random
+
+private const val SEED = 7
+
+/** The users' store takes records of 256 KB. */
+private const val MOST_RECORD_BYTES = 262_144
+
+class JobRecordsTest :
+    DescribeSpec({
+        describe("the record of a job") {
+            it("holds a step of 150 samples within what a store takes for one") {
+                val bytes = Random(SEED)
+                fun encoded(size: Int) = Base64.getEncoder().encodeToString(bytes.nextBytes(size))
+                val items = (1..150).map {
+                    val reward = RewardCall("score-$it", "host.example", "/score/$it", encoded(600))
+                    val headers = mapOf("Model" to "m", "Prompt-Prefix" to "9c2e41:300,${encoded(6)}:240")
+                    JobItem(
+                        ItemId("item-$it"),
+                        "/route/$it",
+                        headers,
+                        encoded(600),
+                        "group-${it / 8}",
+                        900,
+                        300,
+                        reward,
+                    )
+                }
+                val record = JobRecord.Submitted(Job(JobId("large"), null, "host.example", "/route/", 1, items = items))
+                val stored = JobRecords.encode(record, writer = "w.1")
+                stored.value.shouldNotBeNull().size shouldBeLessThan MOST_RECORD_BYTES
+                JobRecords.decode(stored.key, stored.value) shouldBe record
+                JobRecords.decode(stored.key, stored.value?.copyOf(1000)) shouldBe null
+            }
+            it("is plain text while it is small") {
+                val record = JobRecord.Submitted(Job(JobId("small"), null, "host.example", "/route/", 1))
+                val stored = JobRecords.encode(record, writer = "w.1")
+                stored.value.shouldNotBeNull().decodeToString().first() shouldBe '{'
+                JobRecords.decode(stored.key, stored.value) shouldBe record
+                JobRecords.decode(stored.key, null) shouldBe null
+            }
+        }
+    })
