Tell peers of crashes even while they are paused

Cause: PoisonTest beside load let 4 of 6 engines crash (allowed: 3). A trace of one failed round shows it: the first heartbeat to the other instance ran out of time while both processes were starting (1.5 s for the connection), which paused that peer for 2 s, and all three crashes of the request fell into that pause, so nobody was told of them. Ruled out: the log being late (crashes do not travel there), the probe taking a crashed engine for a live one (each crash is in the log of events). Change: news that cannot wait go to paused peers as well, and exchanges that take longer than the request waits go on. peer.lost and peer.regained are written.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/PeerSide.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/PeerSide.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.core.membership.Pollers
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.SystemClock
+import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.daemon.caller.RequestIds
 import dev.vanillarun.daemon.config.ConfigSource
@@ -39,6 +40,7 @@
     writer: RecordWriter,
     /** Connections to peers. */
     val links: PeerLinks,
+    private val events: EventRecorder,
 ) : AutoCloseable {
     private val self = InstanceId(settings.instance)
     private val local = DataCentre(settings.dataCentre)
@@ -103,7 +105,18 @@
             isMine = ::isMine,
         )
         val heartbeat = settings.intervals.heartbeatMs.milliseconds
-        gossip = Gossip(self, local, content, links, SystemClock, Random.Default, heartbeat, settings.seeds)
+        gossip = Gossip(
+            self = self,
+            local = local,
+            content = content,
+            links = links,
+            clock = SystemClock,
+            random = Random.Default,
+            interval = heartbeat,
+            scope = scope,
+            seeds = settings.seeds,
+            events = events,
+        )
         val probe = ConnectProbe(selector)
         val service = PeerService(gossip, state, path.pool, probe, path.rollouts, RequestIds(incarnation))
         server = PeerServer.start(settings.peerAddress, service)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/RunningDaemon.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/RunningDaemon.kt
@@ -81,7 +81,7 @@
         events = events,
     )
     private val links = PeerLinks()
-    private val peers = PeerSide(settings, incarnation, scope, source, writer, links)
+    private val peers = PeerSide(settings, incarnation, scope, source, writer, links, events)
 
     private val serving = MutableStateFlow(ServingState.SERVING)
     private val draining: Boolean get() = serving.value != ServingState.SERVING
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/peer/Gossip.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/peer/Gossip.kt
@@ -8,11 +8,15 @@
 import dev.vanillarun.core.membership.Membership
 import dev.vanillarun.core.platform.InstanceListing
 import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.timeline.NoEvents
 import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.protocol.peers.v1.HeartbeatReply
 import dev.vanillarun.protocol.peers.v1.HeartbeatRequest
 import dev.vanillarun.protocol.peers.v1.InstanceSummary
 import dev.vanillarun.protocol.peers.v1.Sighting
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
@@ -52,7 +56,9 @@
     private val clock: MonotonicClock,
     private val random: Random,
     interval: Duration,
+    private val scope: CoroutineScope,
     private val seeds: List<String> = emptyList(),
+    private val events: EventRecorder = NoEvents,
 ) {
     private val membership = AtomicReference(Membership(self))
     private val newest = ConcurrentHashMap<InstanceId, InstanceSummary>()
@@ -87,13 +93,16 @@
         }
     }
 
-    /** Exchanges heartbeats with many peers at once, for news that can't wait. */
+    /**
+     * Exchanges heartbeats with many peers at once, for news that can't wait. Peers that did not answer lately are
+     * called, too: the first call after a start may be slow. Returns after [SPREAD_TIMEOUT] at the latest; exchanges
+     * that take longer go on.
+     */
     suspend fun spread() {
-        val open = members.callable(clock.now()).toSet()
-        val peers = members.members.entries.filter { it.value in open }.shuffled(random).take(MAX_SPREAD)
-        withTimeoutOrNull(SPREAD_TIMEOUT) {
-            peers.map { (id, member) -> launch { exchange(id, member) } }.joinAll()
-        }
+        val known = members.members.entries.filter { it.value.peerAddress.isNotEmpty() }
+        val peers = known.shuffled(random).take(MAX_SPREAD)
+        val exchanges = peers.map { (id, member) -> scope.launch { exchange(id, member) } }
+        withTimeoutOrNull(SPREAD_TIMEOUT) { exchanges.joinAll() }
     }
 
     /** Calls a seed, since nobody else is known or reachable. */
@@ -126,11 +135,17 @@
             .build()
         when (val reply = send(member.peerAddress, request)) {
             is PeerReply.Answered -> {
-                membership.updateAndGet { it.reached(id) }
+                val before = membership.getAndUpdate { it.reached(id) }.members[id]
+                if (before?.pausedUntil != null) events.record("peer.regained", EventLinks(), mapOf("peer" to id.value))
                 learn(reply)
             }
 
-            is PeerReply.Failed -> membership.updateAndGet { it.failed(id, clock.now()) }
+            is PeerReply.Failed -> {
+                val before = membership.getAndUpdate { it.failed(id, clock.now()) }.members[id]
+                if (before?.pausedUntil == null) {
+                    events.record("peer.lost", EventLinks(), mapOf("peer" to id.value, "reason" to reply.reason))
+                }
+            }
         }
     }
 
@@ -211,6 +226,7 @@
         /** Peers that are told at once. */
         const val MAX_SPREAD = 64
 
+        /** Longest time that a request whose target crashed waits until peers know; a small part of its deadline. */
         val SPREAD_TIMEOUT = 500.milliseconds
 
         /** Bytes about other instances in one message. */
