--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/agreement/LogFollower.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/agreement/LogFollower.kt
@@ -81,21 +81,26 @@
         }
     }
 
-    /** One read; false if the log did not answer. */
+    /**
+     * One read; false if the log did not answer. Until a page has come, also after an outage, it asks for an answer
+     * without waiting for records, which may be far off.
+     */
     private suspend fun poll(): Boolean {
-        val from = followed.value.view.next
-        val result = log.read(streams, from, wait = if (followed.value.ready) wait else Duration.ZERO)
+        val before = followed.value
+        val result = log.read(streams, before.view.next, wait = if (before.followsEnd) wait else Duration.ZERO)
         val now = clock.now()
-        followed.update { before ->
+        followed.update { known ->
             when (result) {
-                is ReadResult.Page -> before.after(result, now)
-                is ReadResult.Truncated -> before.copy(view = reducer.resume(before.view, result), readAt = now)
-                is ReadResult.Unavailable -> before.copy(reachable = false)
+                is ReadResult.Page -> known.after(result, now)
+                is ReadResult.Truncated -> known.copy(view = reducer.resume(known.view, result), readAt = now)
+                is ReadResult.Unavailable -> known.copy(reachable = false)
             }
         }
         return result !is ReadResult.Unavailable
     }
 
+    private val Followed<S>.followsEnd: Boolean get() = ready && reachable
+
     private fun Followed<S>.after(page: ReadResult.Page, now: Instant): Followed<S> {
         val seen = reducer.read(view, page)
         return copy(
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/agreement/LogFollowerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/agreement/LogFollowerTest.kt
@@ -13,12 +13,17 @@
 import dev.vanillarun.core.log.StreamName
 import dev.vanillarun.standin.log.MemoryLog
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration.Companion.seconds
+
+/** Longest pause between two reads of a log that does not answer. */
+private val longestPause = 5.seconds
 
 class LogFollowerTest :
     DescribeSpec({
@@ -53,6 +58,28 @@
                 }
             }
 
+            it("knows soon after an outage that the log answers, also where nothing was written or the log was cut") {
+                listOf<(MemoryLog) -> Unit>({ }, { it.truncate(it.end) }).forEach { change ->
+                    runTest {
+                        val log = MemoryLog()
+                        val follower = follower(log)
+                        val job = launch { follower.run() }
+                        log.publish("one")
+                        follower.state.first { it.state.inForce?.message == "one" }
+                        log.readsFail = true
+                        log.append("{broken")
+                        follower.state.first { !it.reachable }
+                        log.append(listOf(NewRecord(StreamName.Duty, "{}")))
+                        change(log)
+                        log.readsFail = false
+                        val back = testScheduler.currentTime
+                        follower.state.first { it.reachable }
+                        testScheduler.currentTime - back shouldBeLessThan longestPause.inWholeMilliseconds
+                        job.cancel()
+                    }
+                }
+            }
+
             it("starts a truncated log from a snapshot") {
                 runTest {
                     val log = MemoryLog()
