Count usage when a target begins to run a request, not when its answer ends

Cause: usage was counted once the outcome was known, so a long stream fell into a later window, and a request whose caller left was not counted at all although a target ran it. Change: a request notes once that a target runs it (first event of a stream, send time of a whole answer), and the meter takes the window of that time.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -96,7 +96,7 @@
     private val live = LiveForwarder(chooser, gateway, book, crashes, clock, events)
     private val streams = StreamForwarder(chooser, gateway, ports.targets, book, crashes, clock, events)
     private val window = settings.hosting.usageWindowS.seconds
-    private val meter = UsageMeter(usageAppender, window, wallClock)
+    private val meter = UsageMeter(usageAppender, window, clock, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events)
 
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageMeter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageMeter.kt
@@ -3,6 +3,8 @@
 import dev.vanillarun.core.id.CustomerId
 import dev.vanillarun.core.metering.UsageRecord
 import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.hosted.store.DurableAppender
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
@@ -13,15 +15,17 @@
 internal class UsageMeter(
     private val appender: DurableAppender,
     private val window: Duration,
+    private val clock: MonotonicClock,
     private val wallClock: () -> Long,
 ) {
     private data class Cell(val window: Long, val customer: CustomerId)
 
     private val counts = HashMap<Cell, Long>()
 
-    /** A request of [customer] began to run now. */
-    fun count(customer: CustomerId) {
-        val cell = Cell(wallClock() / window.inWholeMilliseconds, customer)
+    /** A request of [customer] has been running at a target [since] then. */
+    fun count(customer: CustomerId, since: Instant) {
+        val began = wallClock() - (clock.now() - since).inWholeMilliseconds
+        val cell = Cell(began / window.inWholeMilliseconds, customer)
         synchronized(counts) { counts.merge(cell, 1, Long::plus) }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -153,8 +153,6 @@
     private suspend fun forward(request: LiveRequest, sink: StreamSink): Reply {
         val isStream = request.route.kind == RequestKind.STREAM
         val outcome = if (isStream) streams.serve(request, sink) else live.serve(request)
-        val customer = request.customer
-        if (customer != null && outcome !is LiveOutcome.NotRun) usage.count(customer.id)
         return when (outcome) {
             is LiveOutcome.Whole -> Reply(outcome.status, "answered", outcome.body, outcome.headers)
             is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(request.route))
@@ -175,6 +173,7 @@
         received = received,
         deadline = received + minOf(terms.timeLeft ?: Duration.INFINITE, route.timeout),
         resumeAfter = terms.resumeAfter.takeIf { route.resumable },
+        onRunning = { since -> customer?.let { usage.count(it.id, since) } },
     )
 
     /** Soon enough for a further try within the objective, late enough that a place has become free. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -12,6 +12,7 @@
 import dev.vanillarun.hosted.target.TargetBook
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.readWhole
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -126,13 +127,19 @@
 
         private suspend fun attempt(replica: Replica): Attempted {
             val sentAt = clock.now()
-            val sent = gateway.send(request.outgoing(sentAt), replica) { whole(it) }
+            val sent = try {
+                gateway.send(request.outgoing(sentAt), replica) { whole(it) }
+            } catch (e: CancellationException) {
+                request.began(sentAt) // the target works on although nobody waits any more
+                throw e
+            }
             val result = when (sent) {
                 is Sent.Answered -> sent.value?.let { Attempted.Answer(it) } ?: Attempted.Unknown("a broken answer")
                 is Sent.NotRun -> Attempted.NotRun(sent.reason)
                 is Sent.Unknown -> Attempted.Unknown(sent.reason)
             }
             val elapsed = clock.now() - sentAt
+            if (result !is Attempted.NotRun) request.began(sentAt)
             if (result is Attempted.Answer) {
                 book.paced(replica, elapsed)
                 crashes.completed(request)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -7,6 +7,7 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.hosted.target.OutgoingRequest
 import io.ktor.http.Headers
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -27,7 +28,15 @@
     val resumeAfter: Long? = null,
     /** Time without an answer after which a second target is asked, if the request may be repeated. */
     val hedgeAfter: Duration = maxOf(route.objective * HEDGE_PART, SHORTEST_HEDGE),
+    private val onRunning: (since: Instant) -> Unit = {},
 ) {
+    private val running = AtomicBoolean()
+
+    /** Notes that a target has been running the request [since] then; later targets of the same request don't count. */
+    fun began(since: Instant) {
+        if (running.compareAndSet(false, true)) onRunning(since)
+    }
+
     /** Stands for the content, whatever the identity of the request. */
     val fingerprint: Fingerprint by lazy { Fingerprint.of(method, uri, body) }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -153,6 +153,7 @@
                 is Sent.NotRun -> Ended.NotRun(sent.reason)
                 is Sent.Unknown -> Ended.Broken(sent.reason, byTarget = true)
             }
+            if (ended !is Ended.NotRun) request.began(begun)
             if (ended is Ended.Broken && ended.byTarget) crashes.brokeOff(request, replica)
             if (ended == Ended.Whole) crashes.completed(request) else note(replica, ended, after, clock.now() - begun)
             return ended
@@ -189,6 +190,7 @@
             val event = dialect.event(bytes.decodeToString()) ?: return Ended.Broken("an event cannot be read")
             if (event.number != last + 1) return Ended.Broken("event ${event.number} came after $last")
             val now = clock.now()
+            request.began(now)
             lastEventAt?.let { book.paced(replica, now - it) }
             lastEventAt = now
             sink.event(bytes)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -46,6 +47,7 @@
     body: String = "b",
     id: String = "r1",
     hedgeAfter: Duration = route.objective / 2,
+    onRunning: () -> Unit = {},
 ): LiveRequest {
     val now = SystemClock.now()
     return LiveRequest(
@@ -60,6 +62,7 @@
         received = now,
         deadline = now + within,
         hedgeAfter = hedgeAfter,
+        onRunning = { onRunning() },
     )
 }
 
@@ -67,6 +70,40 @@
     DescribeSpec({
         fun FakeTargets.all(count: Int, behaviour: Behaviour) = repeat(count) { behaviours["t$it:80"] = behaviour }
 
+        describe("a call as seen by what counts running requests") {
+            suspend fun LiveSetting.began(kind: RequestKind): Int {
+                var began = 0
+                live.serve(request(route(kind), within = 300.milliseconds, onRunning = { began++ }))
+                return began
+            }
+
+            it("runs once, also if several targets run it or none answers") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.IsSilent)
+                    began(RequestKind.IDEMPOTENT) shouldBe 1
+                    targets.sent shouldHaveSize 2
+                }
+                withTargets(2) {
+                    targets.all(2, Behaviour.Breaks)
+                    began(RequestKind.IDEMPOTENT) shouldBe 1
+                }
+            }
+
+            it("runs although its caller leaves, and does not if no target took it") {
+                withTargets(1) {
+                    targets.all(1, Behaviour.IsSilent)
+                    var began = 0
+                    val request = request(route(RequestKind.NON_IDEMPOTENT), onRunning = { began++ })
+                    withTimeoutOrNull(100.milliseconds) { live.serve(request) }
+                    began shouldBe 1
+                }
+                withTargets(2) {
+                    targets.all(2, Behaviour.IsGone)
+                    began(RequestKind.NON_IDEMPOTENT) shouldBe 0
+                }
+            }
+        }
+
         describe("a repeatable call on a day on which targets fall silent without a reset") {
             it("is answered by a second target long before its deadline") {
                 withTargets(2) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -29,7 +29,12 @@
     }
 }
 
-private fun stream(resumable: Boolean, within: Duration = 5.seconds, after: Long? = null): LiveRequest {
+private fun stream(
+    resumable: Boolean,
+    within: Duration = 5.seconds,
+    after: Long? = null,
+    onRunning: () -> Unit = {},
+): LiveRequest {
     val now = SystemClock.now()
     val route = CatalogRoute(
         name = "r",
@@ -54,6 +59,7 @@
         received = now,
         deadline = now + within,
         resumeAfter = after,
+        onRunning = { onRunning() },
     )
 }
 
@@ -63,6 +69,29 @@
     DescribeSpec({
         fun FakeTargets.all(count: Int, behaviour: Behaviour) = repeat(count) { behaviours["t$it:80"] = behaviour }
 
+        describe("a stream as seen by what counts running requests") {
+            it("runs from its first event on, once, however many targets run it") {
+                withTargets(2) {
+                    targets.behaviours["t0:80"] = Behaviour.Streams(breakAfter = 2)
+                    targets.behaviours["t1:80"] = Behaviour.Streams(breakAfter = 4)
+                    val reader = Reader()
+                    val passedBefore = mutableListOf<Int>()
+                    streams.serve(stream(resumable = true, onRunning = { passedBefore += reader.events.size }), reader)
+                    passedBefore shouldBe listOf(0)
+                }
+            }
+
+            it("never runs if every target refused it") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.Answers(status = 503, notRun = true))
+                    var began = 0
+                    streams.serve(stream(resumable = true, onRunning = { began++ }), Reader())
+                        .shouldBeInstanceOf<LiveOutcome.NotRun>()
+                    began shouldBe 0
+                }
+            }
+        }
+
         describe("a stream that may be resumed") {
             it("goes on at another target after the last event, under the head of the first") {
                 withTargets(2) {
