Give a duty up that is won only after the planned stop began

Ruled out: a slow successor (milano-3 closed and reported the window within 0.4 s of its term). Change: a runner that is stopping gives up what it wins, unless an action is under way. Shown: DutyRunnerTest in virtual time, successor after 12.25 s before (bound 3.5 s, claim retry, spread and a second), passes now.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/agreement/DutyRunner.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/agreement/DutyRunner.kt
@@ -120,7 +120,10 @@
         return result
     }
 
-    /** Stops acting at once, lets the actions under way end, and hands the duty over. */
+    /**
+     * Stops acting at once, lets the actions under way end, and hands the duty over. A claim that was under way may
+     * still win the duty afterwards; then it is given up for as long as [run] goes on.
+     */
     public suspend fun stop(patience: Duration = 2.seconds) {
         participant.update { it.stop() }
         withTimeoutOrNull(patience + timing.lateEffect) {
@@ -143,9 +146,12 @@
     private fun step(followed: Followed<DutyTable>): Envelope? {
         if (!followed.ready) return null
         participant.update { it.observe(followed.view, clock.now()) }
-        return if (participant.value.stopping) null else record()
+        return if (participant.value.stopping && isActing) null else record()
     }
 
+    /** True while an action, or the hand-over after the last one, is under way. */
+    private val isActing: Boolean get() = action.isLocked || beside.value > 0
+
     /** The next record to append, noted as sent before it is. */
     private fun record(): Envelope? {
         val now = clock.now()
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/agreement/DutyRunnerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/agreement/DutyRunnerTest.kt
@@ -94,6 +94,23 @@
                 }
             }
 
+            it("is given up at once if it is won only after the planned stop began") {
+                runTest {
+                    val log = MemoryLog()
+                    log.appendFault = { AppendFault.LATE }
+                    val leaving = Instance(this, log, "a")
+                    advanceTimeBy(1.seconds)
+                    leaving.runner.stop()
+                    log.appendFault = { AppendFault.NONE }
+                    log.flushLate()
+                    leaving.runner.state.first { it.lease.term != null }
+                    val won = testScheduler.currentTime.milliseconds
+                    Instance(this, log, "b").holds()
+                    testScheduler.currentTime.milliseconds - won shouldBeLessThan
+                        TIMING.claimRetry + TIMING.spread + 1.seconds
+                }
+            }
+
             it("is not handed over while an action that runs beside others is under way") {
                 runTest {
                     val log = MemoryLog()
