Read the store in fewer, longer polls and confirm views on demand

An instance made 17 store calls a second while idle, up to 20 more for the targets' heartbeats, and its loops woke up 37 times a second, only so that a view was never older than 0.9 s, which decisions need only when they deny something. Change: each topic has a pace (long poll, pause between reads): heartbeats are read each 250 ms, usage by standby instances each second, jobs each 150 ms by instances that run none. A denial, or the answer that there is no further result, confirms the view by one shared read (TopicFollower.confirm) and decides anew if that brought a change. Loops of the duty and of the runner sleep while there is nothing to do. A record that a view cannot process is skipped and reported; a component that fails is reported, counted and started again (ComponentSupervisor), where it was silently dead before.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -81,11 +81,14 @@
     private val writer = "${settings.instance}.${incarnation.value}"
     private val metrics = DaemonMetrics()
     private val callCounter = CallCounter(metrics)
+    private val supervisor = ComponentSupervisor(scope, events, metrics)
 
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
-    private val board = JobBoard(ports.store, clock, events)
-    private val usageBoard = UsageBoard(ports.store, clock, events)
+    private val board: JobBoard = JobBoard(ports.store, clock, events) {
+        if (runner.isBusy) JobBoard.RunnerPace else JobBoard.ReaderPace
+    }
+    private val usageBoard: UsageBoard = UsageBoard(ports.store, clock, events, reporting = { duty.heldTerm != null })
 
     private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer)
     private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer)
@@ -184,6 +187,12 @@
     @Volatile
     private var stopping = false
 
+    /** Bound address for callers, `host:port`, with the actual port; valid once [start] has returned. */
+    public val callerAddress: String get() = servers[CALLER_SERVER].address
+
+    /** Bound address of the readiness probe, `host:port`; valid once [start] has returned. */
+    public val readyAddress: String get() = servers[READY_SERVER].address
+
     /** True if the load balancer may route callers here: a catalog is known, the views are fresh and no drain runs. */
     public val ready: Boolean get() = !stopping && listOf(catalog.follower, replicas.follower, board.follower).all {
         it.state.value.ready && (it.age(clock.now()) ?: Duration.INFINITE) < MAX_VIEW_AGE
@@ -207,33 +216,34 @@
         }
         val admin = AdminServer(metrics.registry, ::status)
         servers += HttpServer.start(settings.adminAddress) { admin.install(this) }
-        launchAll()
-        val attributes = mapOf("caller_address" to settings.callerAddress, "ready_address" to settings.readyAddress)
+        startComponents()
+        val attributes = mapOf("caller_address" to callerAddress, "ready_address" to readyAddress)
         events.record("instance.started", EventLinks(), attributes)
     }
 
-    private fun launchAll() {
-        listOf(
-            catalog.follower,
-            replicas.follower,
-            board.follower,
-            placement.follower,
-            usageBoard.follower,
-            crashes.follower,
-        )
-            .forEach { scope.launch { it.run() } }
-        listOf(jobAppender, usageAppender, placementAppender, crashAppender).forEach { scope.launch { it.run() } }
-        scope.launch { replicas.run() }
-        scope.launch { replicas.replicas.collect { tracker.retain(it.values) } }
-        scope.launch { usageMeter.run() }
-        scope.launch { slots.run() }
-        scope.launch { leaseAppender.run() }
-        scope.launch { leases.run() }
-        scope.launch { duty.run() }
-        scope.launch { runner.run() }
-        scope.launch { weightLoader.run() }
-        scope.launch { fleetSizer.run() }
-        scope.launch { usageReporter.run() }
+    private fun startComponents() {
+        mapOf(
+            "catalog" to catalog.follower,
+            "targets" to replicas.follower,
+            "jobs" to board.follower,
+            "placement" to placement.follower,
+            "usage" to usageBoard.follower,
+            "crashes" to crashes.follower,
+        ).forEach { (topic, follower) -> supervisor.start("follower.$topic") { follower.run() } }
+        listOf(jobAppender, usageAppender, placementAppender, crashAppender).forEach { appender ->
+            supervisor.start("appender.${appender.topic.value}") { appender.run() }
+        }
+        supervisor.start("targets.expiry") { replicas.run() }
+        supervisor.start("targets.tracking") { replicas.replicas.collect { tracker.retain(it.values) } }
+        supervisor.start("usage.meter") { usageMeter.run() }
+        supervisor.start("slots") { slots.run() }
+        supervisor.start("lease.appender") { leaseAppender.run() }
+        supervisor.start("lease.follower") { leases.run() }
+        supervisor.start("duty") { duty.run() }
+        supervisor.start("jobs.runner") { runner.run() }
+        supervisor.start("weights") { weightLoader.run() }
+        supervisor.start("fleet") { fleetSizer.run() }
+        supervisor.start("usage.reporter") { usageReporter.run() }
     }
 
     private fun status() = InstanceStatus(
@@ -274,6 +284,10 @@
     }
 
     private companion object {
+        /** Indices in the list of servers, which are started in this order. */
+        const val CALLER_SERVER = 0
+        const val READY_SERVER = 1
+
         val LeaseTopic = TopicName("duty", keyed = false)
 
         /** Long-poll timeout of lease reads; bounds the delay until a holder sees its renewal. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogSource.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogSource.kt
@@ -18,7 +18,7 @@
 internal class CatalogSource(
     log: TopicLog,
     private val codec: CatalogCodec,
-    private val clock: MonotonicClock,
+    clock: MonotonicClock,
     private val events: EventRecorder,
 ) : TopicSink {
     private val catalogs = MutableStateFlow<Catalog?>(null)
@@ -33,8 +33,11 @@
     /** Newest published weight version by model; versions never decrease. */
     val newestWeights: StateFlow<Map<String, WeightVersion>> = weights.asStateFlow()
 
-    /** True if this view holds every change that the store accepted more than [MAX_CURRENT_AGE] ago. */
-    fun isCurrent(): Boolean = follower.age(clock.now())?.let { it < MAX_CURRENT_AGE } ?: false
+    /**
+     * True if this view holds every change that the store accepted more than [MAX_CURRENT_AGE] ago; asks the store if
+     * the last read is older than that.
+     */
+    suspend fun confirmCurrent(): Boolean = follower.confirm(MAX_CURRENT_AGE, CONFIRM_TIMEOUT)
 
     override fun reset(records: List<StoredTopicRecord>) = accept(records)
 
@@ -69,7 +72,8 @@
     }
 
     private companion object {
-        /** Maximum age at which the view may be trusted that a key or route does not exist; two long polls. */
+        /** Maximum age at which the view may be trusted that a key or route does not exist. */
         val MAX_CURRENT_AGE = 900.milliseconds
+        val CONFIRM_TIMEOUT = 500.milliseconds
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/ReplicaSource.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/ReplicaSource.kt
@@ -8,12 +8,14 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -29,7 +31,7 @@
     private val removalDue = MutableStateFlow<Map<TargetId, Instant>>(emptyMap())
 
     /** Reads [CatalogCodec.targetTopic] into this view. */
-    val follower = TopicFollower(log, codec.targetTopic, this, clock, events, readInterval = 50.milliseconds)
+    val follower = TopicFollower(log, codec.targetTopic, this, clock, events) { HeartbeatPace }
 
     /** All announced targets by id, including those that are leaving. */
     val replicas: StateFlow<Map<TargetId, Replica>> = current.asStateFlow()
@@ -40,6 +42,7 @@
     /** Removes targets whose announcement expired during a store outage and was not renewed in time. */
     suspend fun run(): Nothing {
         while (true) {
+            removalDue.first { it.isNotEmpty() }
             delay(EXPIRY_CHECK_INTERVAL)
             val now = clock.now()
             removalDue.value.filterValues { now >= it }.keys.forEach { remove(it, "lapsed") }
@@ -103,5 +106,8 @@
         /** Time within which live targets announce themselves again after a store outage. */
         val REANNOUNCE_GRACE = 2.seconds
         val EXPIRY_CHECK_INTERVAL = 100.milliseconds
+
+        /** The targets' heartbeats keep the topic busy; the interval adds to the time until a drain is noticed. */
+        val HeartbeatPace = ReadPace(interval = 250.milliseconds)
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/ControlDuty.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/ControlDuty.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.daemon.agreement.DutyRunner
+import kotlinx.coroutines.flow.first
 import kotlin.time.Duration
 
 /**
@@ -37,6 +38,11 @@
     /** Acquires and renews the lease until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = runner.run()
 
+    /** Suspends until this instance holds the lease; it may have to rest before it acts, see [mayAct]. */
+    suspend fun awaitLease() {
+        runner.state.first { it.mayAct(clock.now()) }
+    }
+
     /** True if an action that takes up to [needed] may start now and would end before the lease expires. */
     fun mayAct(needed: Duration): Boolean = mayAct(runner.state.value, needed)
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
@@ -48,6 +48,7 @@
     /** Sizes the fleets until the calling coroutine is cancelled. */
     suspend fun run(): Nothing {
         while (true) {
+            duty.awaitLease()
             if (duty.mayAct(MAX_ORDER_TIME)) runOnce()
             delay(RUN_INTERVAL)
         }
@@ -55,8 +56,8 @@
 
     private suspend fun runOnce() {
         if (duty.heldTerm != sizedTerm) startTerm()
-        val isCurrent = inputs.replicas.follower.age(clock.now())?.let { it < MAX_VIEW_AGE } ?: false
-        val catalog = inputs.catalog.catalog.value?.takeIf { isCurrent } ?: return
+        val catalog = inputs.catalog.catalog.value ?: return
+        if (!inputs.replicas.follower.confirm(MAX_VIEW_AGE, CONFIRM_TIMEOUT)) return
         catalog.services.values.filter { it.models.isNotEmpty() }
             .forEach { service -> service.spending?.let { resize(catalog, service, it) } }
     }
@@ -130,10 +131,13 @@
             "result" to "$result",
         )
         events.record("targets.ordered", EventLinks(duty = duty.name), attributes)
-        if (result == PlatformResult.Answered(FleetAnswer.ORDERED)) {
-            placedOrders[key] = PlacedOrder(order.desired, clock.now())
-        } else {
-            backoffUntil[key] = clock.now() + REFUSED_BACKOFF
+        when (result) {
+            PlatformResult.Answered(FleetAnswer.ORDERED) -> placedOrders[key] = PlacedOrder(order.desired, clock.now())
+
+            // Not sent: the next holder of the duty, or this one, orders as soon as it may act.
+            null, PlatformResult.Withheld -> Unit
+
+            else -> backoffUntil[key] = clock.now() + REFUSED_BACKOFF
         }
     }
 
@@ -142,6 +146,7 @@
 
         /** Maximum age of the list of targets on which an order may be based. */
         val MAX_VIEW_AGE = 900.milliseconds
+        val CONFIRM_TIMEOUT = 500.milliseconds
 
         /** Maximum duration of an order call; it has to end before the lease expires. */
         val MAX_ORDER_TIME = 600.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/PlacementBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/PlacementBoard.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
 import dev.vanillarun.hosted.target.TargetTracker
@@ -19,6 +20,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlin.time.Duration.Companion.seconds
 
 /** Record of a completed weight load; stored as JSON under its property names. */
 @Serializable
@@ -48,7 +50,7 @@
     private val loadCounter = MutableStateFlow(0L)
 
     /** Reads [Topic] into this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events)
+    val follower = TopicFollower(log, Topic, this, clock, events) { RarePace }
 
     /** Newest published placement; empty until one is read. */
     val placement: StateFlow<ModelPlacement> = currentPlacement.asStateFlow()
@@ -85,6 +87,9 @@
     }
 
     companion object {
+        /** New records are rare and no decision needs to know that there is none. */
+        private val RarePace = ReadPace(longPoll = 2.seconds)
+
         private const val PLACEMENT_KEY = "models"
 
         /** Topic of the placement and of completed weight loads. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageReporter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/UsageReporter.kt
@@ -11,6 +11,7 @@
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
 import kotlinx.coroutines.delay
@@ -26,10 +27,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** View of the usage topic. */
-internal class UsageBoard(log: TopicLog, clock: MonotonicClock, private val events: EventRecorder) : TopicSink {
+/** View of the usage topic; [reporting] is true while this instance may report usage and needs a fresh view. */
+internal class UsageBoard(
+    log: TopicLog,
+    clock: MonotonicClock,
+    private val events: EventRecorder,
+    private val reporting: () -> Boolean,
+) : TopicSink {
     /** Reads [Topic] into this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events, readInterval = 200.milliseconds)
+    val follower = TopicFollower(log, Topic, this, clock, events) { if (reporting()) ReporterPace else StandbyPace }
 
     private val current = MutableStateFlow(WindowLedger())
 
@@ -56,6 +62,11 @@
     companion object {
         /** Topic of usage counts, closed windows and reports; its records expire. */
         val Topic = TopicName("usage", keyed = false)
+
+        private val ReporterPace = ReadPace(longPoll = 400.milliseconds, interval = 200.milliseconds)
+
+        /** All instances write counts, so each reads them in few calls until it reports itself. */
+        private val StandbyPace = ReadPace(longPoll = 2.seconds, interval = 1.seconds)
     }
 }
 
@@ -78,6 +89,7 @@
     /** Closes and reports windows until the calling coroutine is cancelled. */
     suspend fun run(): Nothing {
         while (true) {
+            duty.awaitLease()
             delay(RUN_INTERVAL)
             val isCurrent = board.follower.age(clock.now())?.let { it < MAX_VIEW_AGE } ?: false
             if (isCurrent && duty.mayAct(MAX_CALL_TIME)) runOnce()
@@ -97,8 +109,9 @@
 
     private suspend fun close(number: Long) {
         val counted = board.ledger.value.windows[number]?.counted.orEmpty()
-        withTimeoutOrNull(MAX_CALL_TIME) { appender.append(usageRecord(UsageRecord.Closed(number, counted))) }
-        events.record("usage.closed", EventLinks(duty = duty.name), mapOf("window" to "$number"))
+        val closing = appender.offer(usageRecord(UsageRecord.Closed(number, counted)), MAX_CALL_TIME)
+        val attributes = mapOf("window" to "$number", "result" to "$closing")
+        events.record("usage.closed", EventLinks(duty = duty.name), attributes)
     }
 
     private suspend fun report(number: Long) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -68,6 +68,7 @@
     /** Places models and starts loads until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = coroutineScope {
         while (true) {
+            duty.awaitLease()
             if (duty.mayAct(MAX_ORDER_TIME)) runOnce(this)
             delay(RUN_INTERVAL)
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -132,9 +132,10 @@
         val route = currentCatalog.route(metadata.host, request.head.path)
         val authorization = currentCatalog.authorize(route, metadata.key)
         return when {
-            authorization !is KeyDecision.Allowed -> onlyIfCurrent(Reply(UNAUTHORIZED, "the key is unknown"))
+            authorization !is KeyDecision.Allowed ->
+                reject(UnknownKey, currentCatalog) { handleRouteRequest(it, request, sink) }
 
-            route == null -> onlyIfCurrent(Reply(NOT_FOUND, "no route"))
+            route == null -> reject(NoRoute, currentCatalog) { handleRouteRequest(it, request, sink) }
 
             route.kind == RequestKind.ROLLOUT ->
                 jobs.submit(request.head, metadata, route, authorization.customer, request.body)
@@ -146,14 +147,22 @@
     private suspend fun handleJobCall(operation: CallerCall, currentCatalog: Catalog, metadata: CallMetadata): Reply {
         val customer = when (val authorization = currentCatalog.authorize(null, metadata.key)) {
             is KeyDecision.Allowed -> authorization.customer
-            KeyDecision.Unknown -> return onlyIfCurrent(Reply(UNAUTHORIZED, "the key is unknown"))
+
+            KeyDecision.Unknown ->
+                return reject(UnknownKey, currentCatalog) { handleJobCall(operation, it, metadata) }
         }
         return jobs.handle(operation, customer)
     }
 
-    /** A rejection because of a missing entry is final only if the catalog is current; otherwise the caller retries. */
-    private fun onlyIfCurrent(reply: Reply): Reply =
-        if (catalog.isCurrent()) reply else Reply.notRun("not sure: ${reply.reason}", STALE_CATALOG_RETRY_AFTER)
+    /**
+     * Rejects for good only by a catalog that the store has confirmed; otherwise the caller may try again. If the
+     * catalog has changed since [decidedBy], the decision is made anew.
+     */
+    private suspend fun reject(reply: Reply, decidedBy: Catalog, decide: suspend (Catalog) -> Reply): Reply {
+        if (!catalog.confirmCurrent()) return Reply.notRun("not sure: ${reply.reason}", STALE_CATALOG_RETRY_AFTER)
+        val newest = catalog.catalog.value
+        return if (newest == null || newest === decidedBy) reply else decide(newest)
+    }
 
     private suspend fun forward(request: LiveRequest, sink: StreamSink): Reply {
         val isStream = request.route.kind == RequestKind.STREAM
@@ -202,6 +211,8 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val RETRIES_IN_OBJECTIVE = 4
+        val UnknownKey = Reply(UNAUTHORIZED, "the key is unknown")
+        val NoRoute = Reply(NOT_FOUND, "no route")
         val NOT_READY_RETRY_AFTER = 300.milliseconds
 
         /** Short, as another instance may have the current catalog already. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -35,13 +36,17 @@
 /** Part of the results of a job: [total] items in the job, [results], and the position [next] to continue from. */
 internal class ResultPage(val total: Int, val next: Int, val results: List<ItemResult>)
 
-/** View of the jobs topic: all jobs of the fleet and their results. */
-internal class JobBoard(log: TopicLog, private val clock: MonotonicClock, private val events: EventRecorder) :
-    TopicSink {
+/** View of the jobs topic: all jobs of the fleet and their results. [pace] is how often the store is read. */
+internal class JobBoard(
+    log: TopicLog,
+    clock: MonotonicClock,
+    private val events: EventRecorder,
+    pace: () -> ReadPace = { RunnerPace },
+) : TopicSink {
     private val current = MutableStateFlow(JobTable())
 
     /** Follows the jobs topic and feeds its records to this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events)
+    val follower = TopicFollower(log, Topic, this, clock, events, pace)
 
     /** Current jobs; a new value after each batch of records. */
     val table: StateFlow<JobTable> = current.asStateFlow()
@@ -78,14 +83,13 @@
         }
         val view = if (found.results.size > after) found else awaitResult(id, after, wait) ?: found
         val page = page(view, after)
-        if (page.results.isEmpty() && !isCurrent()) return LookupResult.Unknown
-        return LookupResult.Found(page)
+        if (page.results.isNotEmpty()) return LookupResult.Found(page)
+        if (!follower.confirm(MAX_CURRENT_AGE, LOOKUP_TIMEOUT)) return LookupResult.Unknown
+        return LookupResult.Found(localJob(id)?.let { page(it, after) } ?: page)
     }
 
     private fun localJob(id: JobId): JobView? = current.value.jobs[id]?.takeIf { it.job != null }
 
-    private fun isCurrent(): Boolean = follower.age(clock.now())?.let { it < MAX_CURRENT_AGE } ?: false
-
     private suspend fun awaitResult(id: JobId, after: Int, wait: Duration): JobView? = withTimeoutOrNull(wait) {
         val changed = current.first { table ->
             val view = table.jobs[id]
@@ -111,6 +115,12 @@
         /** Keyed topic with the submissions and results of all jobs. */
         val Topic = TopicName("jobs", keyed = true)
 
+        /** Pace of an instance that runs items: a result that is known late delays the next item. */
+        val RunnerPace = ReadPace()
+
+        /** Pace of an instance that only answers reads of jobs; callers read about twice per second. */
+        val ReaderPace = ReadPace(interval = 150.milliseconds)
+
         /** Timeout for catching up with the store when a job is not in the local view. */
         private val LOOKUP_TIMEOUT = 600.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -23,6 +23,7 @@
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.TargetTracker
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -34,6 +35,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Views of jobs, catalog, engines and slots that a [JobRunner] reads. */
 internal class RunnerInputs(
@@ -82,12 +84,14 @@
 
     /** Runs until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = withContext(confined) {
+        running.clear() // left by a run that failed
         launch { inputs.board.table.collect { wake.trySend(Unit) } }
         launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
         launch { inputs.placement.loadCount.collect { wake.trySend(Unit) } }
+        launch { inputs.slots.grant.collect { wake.trySend(Unit) } }
         while (true) {
             schedule(this)
-            withTimeoutOrNull(POLL_INTERVAL) { wake.receive() }
+            withTimeoutOrNull(if (isBusy) POLL_INTERVAL else IDLE_POLL_INTERVAL) { wake.receive() }
         }
         @Suppress("UNREACHABLE_CODE")
         error("unreachable: the runner ends only by cancellation")
@@ -98,6 +102,11 @@
     var inProgress: Int = 0
         private set
 
+    /** True while this instance runs items or is responsible for an open job; updated in each scheduling round. */
+    @Volatile
+    var isBusy: Boolean = false
+        private set
+
     @Volatile
     private var accepting = true
 
@@ -109,11 +118,11 @@
     private fun schedule(scope: CoroutineScope) {
         val open = inputs.board.table.value.jobs.values.filter { it.open }
         cancelClosed(open)
-        if (accepting) {
-            dispatchWaiting(scope, open.filter(::isMine))
-            moveFromSlowEngines()
-        }
+        val mine = if (accepting) open.filter(::isMine) else emptyList()
+        dispatchWaiting(scope, mine)
+        if (accepting) moveFromSlowEngines()
         inProgress = running.size
+        isBusy = mine.isNotEmpty() || running.isNotEmpty()
     }
 
     private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
@@ -175,11 +184,26 @@
         val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
         val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
         if (end != null) {
-            running[key] = ActiveRun(scope.launch { conclude(task, end) }, engine = null, task, clock.now())
+            val work = scope.launch { guarded(task) { conclude(task, end) } }
+            running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
         val engine = engines.choose(task, runs()) ?: return
-        running[key] = ActiveRun(scope.launch { attempt(task, engine) }, engine.id, task, clock.now())
+        val work = scope.launch { guarded(task) { attempt(task, engine) } }
+        running[key] = ActiveRun(work, engine.id, task, clock.now())
+    }
+
+    /** Runs [work] on [task]; an unexpected error ends this run only, and the item is tried again after a delay. */
+    @Suppress("TooGenericExceptionCaught") // Any defect that one item brings to light.
+    private suspend fun guarded(task: SampleTask, work: suspend () -> Unit) = try {
+        work()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        recordEvent("item.run_failed", task, "reason" to "$e")
+        progress[task.item.id] =
+            (progress[task.item.id] ?: ItemProgress()).copy(notBefore = clock.now() + FAILURE_BACKOFF)
+        running.remove(RunKey(task.job.id, task.item.id))
     }
 
     /** Moves runs to much faster engines, since an engine may be slow for seconds. */
@@ -297,6 +321,12 @@
         /** Maximum time between scheduling rounds; a backoff or a retention ends without a notification. */
         val POLL_INTERVAL = 100.milliseconds
 
+        /** As [POLL_INTERVAL], while no open job belongs to this instance: only a new catalog has no notification. */
+        val IDLE_POLL_INTERVAL = 1.seconds
+
+        /** Delay after an unexpected error of a run, which most probably comes again. */
+        val FAILURE_BACKOFF = 2.seconds
+
         /** Minimum run time before the speed of a run is comparable. */
         val MIN_RUN_TIME_BEFORE_MOVE = 700.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
@@ -14,6 +14,7 @@
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
 import kotlinx.coroutines.CoroutineScope
@@ -21,6 +22,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * View of the crashes topic: requests during which targets disconnected, as observed by all instances.
@@ -38,7 +40,7 @@
     private val ledger = AtomicReference(CrashLedger())
 
     /** Follows the crashes topic and feeds its records to this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events)
+    val follower = TopicFollower(log, Topic, this, clock, events) { RarePace }
 
     /** True if requests with the content of [request] are quarantined and must not be sent to any target. */
     fun isRefused(request: LiveRequest): Boolean =
@@ -66,12 +68,13 @@
 
     override fun reset(records: List<StoredTopicRecord>) = accept(records)
 
-    override fun accept(records: List<StoredTopicRecord>) = records.forEach { record ->
-        try {
-            record.value?.let { observe(Json.decodeFromString(CrashObservation.serializer(), it.decodeToString())) }
-        } catch (e: SerializationException) {
-            events.record("crash.ignored", EventLinks(offset = record.offset), mapOf("reason" to e.message.orEmpty()))
-        }
+    override fun accept(records: List<StoredTopicRecord>) = records.mapNotNull(::decode).forEach(::observe)
+
+    private fun decode(record: StoredTopicRecord): CrashObservation? = try {
+        record.value?.let { Json.decodeFromString(CrashObservation.serializer(), it.decodeToString()) }
+    } catch (e: SerializationException) {
+        events.record("crash.ignored", EventLinks(offset = record.offset), mapOf("reason" to e.message.orEmpty()))
+        null
     }
 
     private fun observe(observation: CrashObservation) {
@@ -79,6 +82,9 @@
     }
 
     companion object {
+        /** New records are rare and no decision needs to know that there is none. */
+        private val RarePace = ReadPace(longPoll = 2.seconds)
+
         /** Topic of crash observations, without keys; its records expire. */
         val Topic = TopicName("crashes", keyed = false)
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.store.TopicRecord
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -19,7 +20,12 @@
  * doubt is resent until the store confirms it. When the store definitely refuses a batch, the records of [offer] fail,
  * and those of [append] are sent again.
  */
-internal class DurableAppender(private val log: TopicLog, private val topic: TopicName, private val producer: String) {
+internal class DurableAppender(
+    private val log: TopicLog,
+    /** Topic of the records. */
+    val topic: TopicName,
+    private val producer: String,
+) {
     private enum class Stage { QUEUED, IN_FLIGHT, WITHDRAWN }
 
     private class Entry(val record: TopicRecord, val mayRefuse: Boolean) {
@@ -83,7 +89,7 @@
         var inDoubt = false
         var failures = 0
         while (batch.isNotEmpty()) {
-            val outcome = log.append(topic, batch.map { it.record }, AppendIdentity(producer, sequence))
+            val outcome = send(batch)
             if (outcome == TopicAppendResult.Done) {
                 sequence++
                 batch.forEach { it.outcome.complete(outcome) }
@@ -95,6 +101,16 @@
         }
     }
 
+    /** An unexpected error says nothing about the store, so the outcome is in doubt and the batch is sent again. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun send(batch: List<Entry>): TopicAppendResult = try {
+        log.append(topic, batch.map { it.record }, AppendIdentity(producer, sequence))
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        TopicAppendResult.InDoubt("$e")
+    }
+
     /** Completes the records of [offer] with [outcome] and returns the others. */
     private fun List<Entry>.refuse(outcome: TopicAppendResult): List<Entry> {
         val (refused, kept) = partition { it.mayRefuse }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -14,11 +14,19 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
-/** Receives the records that a [TopicFollower] reads; never called concurrently. */
+/**
+ * Receives the records that a [TopicFollower] reads; never called concurrently.
+ *
+ * A call that throws must have had no effect: the records are then delivered again one by one, without those that fail.
+ */
 internal interface TopicSink {
     /** Replaces all records received before with [records]. */
     fun reset(records: List<StoredTopicRecord>)
@@ -41,12 +49,23 @@
     val recoveredAt: Instant? = null,
 )
 
+/** How often a [TopicFollower] reads; together the two durations bound its calls to the store. */
+internal data class ReadPace(
+    /**
+     * Time that the store may hold a read while there is no new record. It bounds the calls for an idle topic, and the
+     * time until a silent connection is noticed. New records end the wait at once.
+     */
+    val longPoll: Duration = 1.seconds,
+    /** Pause between two reads. It bounds the calls for a busy topic and is the longest delay of a record. */
+    val interval: Duration = 20.milliseconds,
+)
+
 /**
  * Reads a topic with long polls and passes the records to [sink].
  *
  * A keyed topic starts with the newest record of each key, and starts over when the next offset is no longer retained;
- * an unkeyed topic skips to the first retained offset. Reads are [readInterval] apart, which bounds the number of calls
- * for a busy topic.
+ * an unkeyed topic skips to the first retained offset. [pace] is asked before each read. A view that must be fresher
+ * than the long poll makes it is confirmed on demand, see [confirm].
  */
 internal class TopicFollower(
     private val log: TopicLog,
@@ -54,11 +73,11 @@
     private val sink: TopicSink,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
-    private val longPoll: Duration = LONG_POLL,
-    private val readInterval: Duration = 20.milliseconds,
+    private val pace: () -> ReadPace = { ReadPace() },
 ) {
     private val current = MutableStateFlow(FollowerState())
     private val backoff = storeBackoff()
+    private val confirmation = Mutex()
 
     /** Current read position and freshness. */
     val state: StateFlow<FollowerState> = current.asStateFlow()
@@ -82,7 +101,7 @@
                 is TopicReadResult.Unavailable -> markUnavailable(read.reason)
             }
             failures = if (succeeded) 0 else failures + 1
-            delay(if (succeeded) readInterval else backoff.delayAfter(failures))
+            delay(if (succeeded) pace().interval else backoff.delayAfter(failures))
         }
     }
 
@@ -92,51 +111,76 @@
      */
     suspend fun catchUp(timeout: Duration): Boolean = withTimeoutOrNull(timeout) {
         val from = state.first { it.ready }.next
+        val sentAt = clock.now()
         when (val read = log.read(topic, from, Duration.ZERO)) {
             is TopicReadResult.Page -> {
                 state.first { it.next >= read.next }
-                read.next >= read.end
+                (read.next >= read.end).also { if (it) markCaughtUp(sentAt) }
             }
 
             else -> false
         }
     } ?: false
 
+    /**
+     * Returns true once the view is at most [maxAge] old, which may take one read of the store; false after [timeout],
+     * or if that read fails. Concurrent calls share a read.
+     */
+    suspend fun confirm(maxAge: Duration, timeout: Duration): Boolean =
+        isFresher(maxAge) || withTimeoutOrNull(timeout) {
+            confirmation.withLock { isFresher(maxAge) || catchUp(timeout) }
+        } ?: false
+
+    private fun isFresher(maxAge: Duration) = age(clock.now())?.let { it < maxAge } ?: false
+
+    private fun markCaughtUp(sentAt: Instant) =
+        current.update { it.copy(caughtUpAt = maxOf(sentAt, it.caughtUpAt ?: sentAt)) }
+
     /** Upper bound of the view's staleness at [now]; null until the end of the topic was first reached. */
     fun age(now: Instant): Duration? = state.value.caughtUpAt?.let { now - it }
 
-    private fun pollTimeout() = if (current.value.ready) longPoll else Duration.ZERO
+    private fun pollTimeout() = if (current.value.ready) pace().longPoll else Duration.ZERO
 
     private fun applyPage(page: TopicReadResult.Page, sentAt: Instant, reset: Boolean) {
-        if (reset) {
-            sink.reset(page.records)
-        } else if (page.records.isNotEmpty()) {
-            sink.accept(page.records)
-        }
-        val before = current.value
-        val regained = before.unavailableSince != null
+        deliver(page.records, reset)
+        val regained = current.value.unavailableSince != null
         if (regained) events.record("store.regained", EventLinks(), mapOf("topic" to topic.value))
-        current.value = before.copy(
-            next = page.next,
-            ready = before.ready || page.next >= page.end,
-            caughtUpAt = if (page.next >= page.end) sentAt else before.caughtUpAt,
-            unavailableSince = null,
-            recoveredAt = if (regained) clock.now() else before.recoveredAt,
-        )
+        val reachedEnd = page.next >= page.end
+        current.update { before ->
+            before.copy(
+                next = page.next,
+                ready = before.ready || reachedEnd,
+                caughtUpAt = if (reachedEnd) maxOf(sentAt, before.caughtUpAt ?: sentAt) else before.caughtUpAt,
+                unavailableSince = null,
+                recoveredAt = if (regained) clock.now() else before.recoveredAt,
+            )
+        }
     }
 
-    private fun skipTo(first: Offset) {
-        current.value = current.value.copy(next = first)
+    /** Passes [records] to the sink; a record that it cannot process is skipped, so that it does not end the view. */
+    @Suppress("TooGenericExceptionCaught") // Any defect in decoding or applying one record.
+    private fun deliver(records: List<StoredTopicRecord>, reset: Boolean) {
+        if (records.isEmpty() && !reset) return
+        try {
+            if (reset) sink.reset(records) else sink.accept(records)
+        } catch (e: RuntimeException) {
+            val first = records.firstOrNull() ?: throw e
+            if (records.size > 1) {
+                deliver(listOf(first), reset)
+                records.drop(1).forEach { deliver(listOf(it), reset = false) }
+            } else {
+                val attributes = mapOf("topic" to topic.value, "key" to first.key, "reason" to "$e")
+                events.record("topic.record_skipped", EventLinks(offset = first.offset), attributes)
+                if (reset) sink.reset(emptyList())
+            }
+        }
     }
 
+    private fun skipTo(first: Offset) = current.update { it.copy(next = first) }
+
     private fun markUnavailable(reason: String) {
         if (current.value.unavailableSince != null) return
         events.record("store.lost", EventLinks(), mapOf("topic" to topic.value, "reason" to reason))
-        current.value = current.value.copy(unavailableSince = clock.now())
-    }
-
-    companion object {
-        /** Time that the store may hold a read while there is no new record; bounds a view's age on an idle topic. */
-        val LONG_POLL = 400.milliseconds
+        current.update { it.copy(unavailableSince = clock.now()) }
     }
 }
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/TopicFollowerTest.kt
@@ -0,0 +1,124 @@
+package dev.vanillarun.hosted.store
+
+import dev.vanillarun.core.log.Offset
+import dev.vanillarun.core.store.StoredTopicRecord
+import dev.vanillarun.core.store.TopicLog
+import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.store.TopicReadResult
+import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.timeline.NoOpEventRecorder
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.fake.ManualClock
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val topic = TopicName("t", keyed = false)
+
+/** Keeps the values it receives; a value `poison` throws. */
+private class Values : TopicSink {
+    val seen = CopyOnWriteArrayList<String>()
+
+    override fun reset(records: List<StoredTopicRecord>) {
+        seen.clear()
+        accept(records)
+    }
+
+    override fun accept(records: List<StoredTopicRecord>) {
+        val values = records.map { it.value!!.decodeToString() }
+        check("poison" !in values) { "cannot be applied" }
+        seen += values
+    }
+}
+
+/** Counts the reads that do not wait, which are those made to confirm a view. */
+private class CountingLog(private val log: FakeTopicLog) : TopicLog by log {
+    val confirmations = AtomicInteger()
+
+    override suspend fun read(topic: TopicName, from: Offset, wait: Duration): TopicReadResult {
+        if (wait == Duration.ZERO) confirmations.incrementAndGet()
+        return log.read(topic, from, wait)
+    }
+}
+
+class TopicFollowerTest :
+    DescribeSpec({
+        suspend fun FakeTopicLog.write(vararg values: String) =
+            append(topic, values.map { TopicRecord("", it.encodeToByteArray()) })
+
+        suspend fun following(
+            log: TopicLog,
+            clock: ManualClock,
+            sink: TopicSink,
+            use: suspend (TopicFollower) -> Unit,
+        ): Unit = coroutineScope {
+            val follower = TopicFollower(log, topic, sink, clock, NoOpEventRecorder) { ReadPace(longPoll = 5.seconds) }
+            launch { follower.run() }
+            follower.state.first { it.ready }
+            use(follower)
+            coroutineContext.cancelChildren()
+        }
+
+        describe("a record that the view cannot process") {
+            it("is skipped, and the records around it are applied once") {
+                val log = FakeTopicLog()
+                val values = Values()
+                log.write("a", "poison", "b")
+                following(log, ManualClock(), values) { follower ->
+                    log.write("poison")
+                    log.write("c", "poison", "d")
+                    follower.state.first { it.next.value == 7L }
+                    values.seen shouldContainExactly listOf("a", "b", "c", "d")
+                }
+            }
+        }
+        describe("an old view") {
+            it("is confirmed by one read of the store, however many ask at once") {
+                val log = FakeTopicLog()
+                val counting = CountingLog(log)
+                val clock = ManualClock()
+                following(counting, clock, Values()) { follower ->
+                    val before = counting.confirmations.get()
+                    clock.advance(2.seconds)
+                    coroutineScope {
+                        List(50) { async { follower.confirm(900.milliseconds, 1.seconds) } }.awaitAll().toSet() shouldBe
+                            setOf(true)
+                    }
+                    counting.confirmations.get() - before shouldBe 1
+                    follower.age(clock.now())!! shouldBeLessThan 900.milliseconds
+                }
+            }
+            it("holds what the store had when it was confirmed") {
+                val log = FakeTopicLog()
+                val values = Values()
+                val clock = ManualClock()
+                following(log, clock, values) { follower ->
+                    clock.advance(2.seconds)
+                    log.write("new")
+                    follower.confirm(900.milliseconds, 1.seconds) shouldBe true
+                    values.seen shouldContainExactly listOf("new")
+                }
+            }
+            it("is not confirmed while the store is unavailable") {
+                val log = FakeTopicLog()
+                val clock = ManualClock()
+                following(log, clock, Values()) { follower ->
+                    log.up = false
+                    clock.advance(2.seconds)
+                    follower.confirm(900.milliseconds, 100.milliseconds) shouldBe false
+                }
+            }
+        }
+    })
