Survive malformed messages and endless answers, end streams without events

An event is at most 256 KB. - Bytes without end: after an undecodable chunk size or trailer the codec reports a last content, so the connection went back to the pool, where it swallowed what came next. It is reset now.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -1,7 +1,6 @@
 package dev.vanillarun.core.job
 
 import dev.vanillarun.core.store.TopicRecord
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /**
@@ -37,8 +36,8 @@
     public fun decode(key: String, value: ByteArray?): JobRecord? {
         val parts = key.split('/')
         if (value == null || parts.size < KEY_PARTS) return null
-        val job = JobId(parts[1])
         return try {
+            val job = JobId(parts[1])
             when (parts[0]) {
                 SUBMITTED -> JobRecord.Submitted(json.decodeFromString(Job.serializer(), value.decodeToString()))
 
@@ -49,7 +48,7 @@
 
                 else -> null
             }
-        } catch (_: SerializationException) {
+        } catch (_: IllegalArgumentException) {
             null
         }
     }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -79,7 +79,11 @@
     /** Processes a message from the channel; false if the response was already complete. */
     fun received(message: HttpObject): Boolean {
         if (finished) return false
-        if (message.decoderResult().isFailure) fail("not HTTP: ${message.decoderResult().cause().summary()}")
+        if (message.decoderResult().isFailure) {
+            // The codec reports it with a last content, but the connection is at no message boundary.
+            fail("not HTTP: ${message.decoderResult().cause().summary()}")
+            return false
+        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent && !interim) onContent(message)
         if (message is LastHttpContent) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -32,7 +32,10 @@
         body: ByteArray,
     ): Reply {
         val id = metadata.id ?: return Reply(BAD_REQUEST, "malformed: the submission has no identity")
-        if (board.table.value.jobs[JobId(id)]?.job != null) return Reply(ACCEPTED, "already submitted")
+        board.table.value.jobs[JobId(id)]?.job?.let { known ->
+            val sameCustomer = known.customer == customer?.id
+            return if (sameCustomer) Reply(ACCEPTED, "already submitted") else Reply(CONFLICT, "the id is in use")
+        }
         val job = when (val read = dialect.submission(head, route, customer?.id, wallClock(), body)) {
             is Submission.Accepted -> read.job
             is Submission.Malformed -> return Reply(BAD_REQUEST, "malformed: ${read.message}")
@@ -102,6 +105,7 @@
         const val ACCEPTED = 202
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val CONFLICT = 409
         const val GATEWAY_TIMEOUT = 504
 
         /** Time reserved for the response to reach the caller before its deadline. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -13,6 +13,7 @@
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.hosted.target.Activity
+import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.OutgoingRequest
 import dev.vanillarun.hosted.target.SendResult
@@ -86,8 +87,10 @@
             while (true) {
                 val part = answer.body.next()
                 if (part is BodyPart.Bytes) {
-                    activity.received()
-                    splitter.feed(part.bytes).firstNotNullOfOrNull { accept(it.decodeToString()) }?.let { return it }
+                    val completed = splitter.feed(part.bytes)
+                    if (completed.isNotEmpty()) activity.received()
+                    completed.firstNotNullOfOrNull { accept(it.decodeToString()) }?.let { return it }
+                    if (splitter.pending > MAX_EVENT_BYTES) return interrupted("an event is too long")
                 } else {
                     val whole =
                         part == BodyPart.End(clean = true) && splitter.pending == 0 && transcript.lastEventNumber > 0
@@ -133,7 +136,7 @@
             gateway.send(outgoing(task, before), replica) { reader.read(it, activity) }
         }
         return when (sent) {
-            null -> RunOutcome.Interrupted(reader.transcript, "nothing was received for $STALL_TIMEOUT").also {
+            null -> RunOutcome.Interrupted(reader.transcript, "no event was received for $STALL_TIMEOUT").also {
                 tracker.failed(replica)
             }
 
@@ -167,7 +170,7 @@
         const val SERVER_ERROR = 500
         const val UNPROCESSABLE = 422
 
-        /** Time without data after which the run is cancelled; a weight load takes about a second. */
+        /** Time without an event after which the run is cancelled; a weight load takes about a second. */
         val STALL_TIMEOUT = 1800.milliseconds
 
         /** Time limit that engines apply to a run, in case its client is gone, for instance behind a broken link. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -176,7 +176,7 @@
         /** Maximum number of targets for one request, including those that rejected it. */
         const val MAX_SENDS = 4
 
-        /** Maximum size of a buffered response. */
-        const val MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+        /** Maximum size of a buffered response; the heap of the smallest machines holds several. */
+        const val MAX_RESPONSE_BYTES = 8 * 1024 * 1024
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.hosted.target.Activity
+import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.SendResult
 import dev.vanillarun.hosted.target.TargetDialect
@@ -148,7 +149,7 @@
                 gateway.send(outgoing, replica) { forwardResponse(it, Activity(clock), replica) }
             }
             val end = when (sent) {
-                null -> Outcome.Interrupted("nothing was received for $STALL_TIMEOUT").also { tracker.failed(replica) }
+                null -> Outcome.Interrupted("no event was received for $STALL_TIMEOUT").also { tracker.failed(replica) }
                 is SendResult.Answered -> sent.value
                 is SendResult.NotRun -> Outcome.NotRun(sent.reason)
                 is SendResult.Unknown -> Outcome.Interrupted(sent.reason, byTarget = true)
@@ -177,8 +178,10 @@
             val splitter = EventSplitter()
             var part = answer.body.next()
             while (part is BodyPart.Bytes) {
-                activity.received()
-                splitter.feed(part.bytes).firstNotNullOfOrNull { forwardEvent(it, replica) }?.let { return it }
+                val completed = splitter.feed(part.bytes)
+                if (completed.isNotEmpty()) activity.received()
+                completed.firstNotNullOfOrNull { forwardEvent(it, replica) }?.let { return it }
+                if (splitter.pending > MAX_EVENT_BYTES) return Outcome.Interrupted("an event is too long")
                 part = answer.body.next()
             }
             val whole = part == BodyPart.End(clean = true) && splitter.pending == 0
@@ -225,7 +228,7 @@
         /** Maximum number of rejected attempts of one request. */
         const val MAX_REFUSALS = 4
 
-        /** Time without data after which a resumable stream moves to another target; callers time out after 2 s. */
+        /** Time without an event after which a resumable stream moves to another target; callers time out after 2 s. */
         val STALL_TIMEOUT = 1500.milliseconds
 
         /** Maximum size of a response that is not a stream, for instance an error description. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
 
-/** Time of the latest data received in an exchange. */
+/** Time of the latest progress of an exchange: its head, or a whole event. Single bytes are no progress. */
 internal class Activity(private val clock: MonotonicClock) {
     /** Time of the latest [received] call; the creation time before the first. */
     @Volatile
@@ -45,3 +45,6 @@
             watch.cancel()
         }
     }
+
+/** Maximum size of one event; a target that sends more without an end of the event is faulty. */
+internal const val MAX_EVENT_BYTES: Int = 256 * 1024
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -14,7 +14,10 @@
 import io.ktor.http.Headers
 import io.ktor.http.headersOf
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.yield
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
 
 /** Response of a target to every request. */
 sealed interface Behaviour {
@@ -27,6 +30,12 @@
      */
     data class EventStream(val events: Long = 5, val breakAfter: Long? = null, val signature: String = "s") : Behaviour
 
+    /** Opens a response and sends [chunk] each [interval] without end; the chunks complete no event. */
+    data class Endless(val chunk: ByteArray, val interval: Duration = Duration.ZERO) : Behaviour
+
+    /** Streams five events that are [interval] apart. */
+    data class SlowStream(val interval: Duration) : Behaviour
+
     /** Sends a response that carries another request's id. */
     data object MismatchedResponse : Behaviour
 
@@ -59,6 +68,8 @@
         return when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
             is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
             is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
+            is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
+            is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
             Behaviour.MismatchedResponse -> ExchangeResult.Answered(handle(answer(200, "other", notRun = false)))
             Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
             Behaviour.Silence -> awaitCancellation()
@@ -84,6 +95,21 @@
         return TargetResponse(200, headers, ResponseBody { parts.removeFirst() })
     }
 
+    private fun endless(behaviour: Behaviour.Endless, id: String) =
+        TargetResponse(200, headersOf("id" to listOf(id), "signature" to listOf("s"))) {
+            delay(behaviour.interval)
+            yield()
+            BodyPart.Bytes(behaviour.chunk)
+        }
+
+    private fun slow(behaviour: Behaviour.SlowStream, requestHeaders: Headers): TargetResponse {
+        val events = stream(Behaviour.EventStream(), requestHeaders)
+        return TargetResponse(events.status, events.headers) {
+            delay(behaviour.interval)
+            events.body.next()
+        }
+    }
+
     override fun headers(request: OutgoingRequest, replica: Replica): Headers =
         headersOf("id" to listOf(request.id), "after" to listOf("${request.resumeAfter ?: 0}"))
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
 import kotlin.time.Duration
@@ -92,6 +93,36 @@
             }
         }
 
+        describe("a target that sends bytes but no events") {
+            it("is given up for another one, however often it sends a byte") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.Endless(chunk = ":".encodeToByteArray(), interval = 200.milliseconds))
+                    val outcome = streams.serve(stream(resumable = true), Reader())
+                    outcome.shouldBeInstanceOf<LiveOutcome.Streamed>().reason shouldContain "no event was received"
+                    targets.requestedAddresses shouldHaveSize 2
+                }
+            }
+            it("is given up once an event is longer than any can be") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.Endless(chunk = ByteArray(16 * 1024)))
+                    val outcome = streams.serve(stream(resumable = true), Reader())
+                    outcome.shouldBeInstanceOf<LiveOutcome.Streamed>().reason shouldContain "too long"
+                    targets.requestedAddresses shouldHaveSize 2
+                }
+            }
+        }
+
+        describe("a slow but sound stream") {
+            it("is not cut, although it lasts longer than a stalled one would be given") {
+                withTargets(1) {
+                    targets.all(1, Behaviour.SlowStream(interval = 600.milliseconds))
+                    val reader = Reader()
+                    streams.serve(stream(resumable = true), reader) shouldBe LiveOutcome.Streamed(5, true, "whole")
+                    reader.events shouldBe whole
+                }
+            }
+        }
+
         describe("a stream that may be resumed") {
             it("goes on at another target after the last event, under the head of the first") {
                 withTargets(2) {
