Keep rare calls on the connection that an instance has

Cause: a target that an instance had not observed was assumed to answer in 20 ms. Services answer in 25 to 190 ms, so each unobserved target looked far better than the connected one: with 0.05 calls a second an instance tried all eight targets in turn, each over a new connection, and had lost the first when it came round. Change: an unobserved target is assumed to be as fast as the best one that the instance knows; the factor for a new connection then keeps it on its own. Answers to hedges, failures and full slots still lead elsewhere. Ruled out: a greater factor for new connections, which would also keep instances with many calls from spreading. Result: ReplicaChooserTest (pattern: many instances with rare calls each), 95 instances, 8 targets, 10 calls each: 760 connections before, at most 95 after.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -30,9 +30,18 @@
         val service = service(route) ?: return null
         val candidates = replicas.of(service).filter { it.id !in triedIds }
         val usable = candidates.filter(tracker::usable)
-        return usable.ifEmpty { candidates }.minByOrNull { expectedLatency(it) * (1 + JITTER * random.nextDouble()) }
+        val assumed = assumedLatency(candidates)
+        return usable.ifEmpty { candidates }
+            .minByOrNull { expectedLatency(it, assumed) * (1 + JITTER * random.nextDouble()) }
     }
 
+    /**
+     * Latency of targets that this instance has not observed: that of the best one it has. A lower assumption would
+     * draw the rare calls of each of many instances to every target in turn, each over a new connection.
+     */
+    private fun assumedLatency(candidates: List<Replica>): Duration =
+        candidates.mapNotNull { tracker.of(it).meanLatency }.minOrNull() ?: DEFAULT_LATENCY
+
     /** True if every target of [route] backs off after rejections for lack of capacity, not after failures. */
     fun isFull(route: CatalogRoute): Boolean {
         val candidates = route.services.flatMap { replicas.of(it.service) }
@@ -50,7 +59,7 @@
         }?.service
     }
 
-    private fun expectedLatency(replica: Replica): Double {
+    private fun expectedLatency(replica: Replica, assumed: Duration): Double {
         val stats = tracker.of(replica)
         val load = stats.load?.takeIf { stats.loadReportedAt?.let { at -> clock.now() - at < LOAD_LIFETIME } == true }
         val busy = maxOf(stats.running, load?.let { it.running + it.waiting } ?: 0)
@@ -58,7 +67,7 @@
         val penalty = busy.toDouble() / replica.slots.coerceAtLeast(1) * LOAD_PENALTY
         val connection = if (isWarm(replica)) 1.0 else NEW_CONNECTION_FACTOR
         val zone = if (replica.dataCentre == local) 1.0 else OTHER_DATA_CENTRE_FACTOR
-        return (stats.meanLatency ?: DEFAULT_LATENCY).inWholeMicroseconds * (1 + penalty + queued) * connection * zone
+        return (stats.meanLatency ?: assumed).inWholeMicroseconds * (1 + penalty + queued) * connection * zone
     }
 
     private companion object {
@@ -77,7 +86,7 @@
         /** Maximum age of a reported load; a few service times. */
         val LOAD_LIFETIME: Duration = 500.milliseconds
 
-        /** Latency assumed for a target without observations. */
+        /** Latency assumed while no target has been observed. */
         val DEFAULT_LATENCY: Duration = 20.milliseconds
     }
 }
