WholeAnswersTest: make the selection of the broken target certain

Cause: the selection is random among equal targets, so all six calls could go to the sound one (chance 1/64 a run), and then nothing was resumed. Change: the sound target holds its first call. A target without completions that has a call in flight is warming up and gets none, so the next call must go to the broken one. All checks stay; the held call is checked too.

--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/WholeAnswersTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/WholeAnswersTest.kt
@@ -9,11 +9,19 @@
 import dev.vanillarun.daemon.fake.send
 import dev.vanillarun.daemon.fake.testConfig
 import dev.vanillarun.daemon.fake.withDaemon
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.seconds
 
 private const val COMPLETION = """{"choices":[{"text":"w1@7 ","finish_reason":"stop"}]}"""
 
@@ -38,6 +46,15 @@
     )
 }
 
+/** Streams [events] whole; the first call waits for [release], unless it is a resumption. */
+private fun holdingFirst(release: CountDownLatch, vararg events: String): RawTarget {
+    val called = AtomicBoolean()
+    return RawTarget { request ->
+        if (called.compareAndSet(false, true) && "\"resume\"" !in request) release.await()
+        send(responseHead(request, "text/event-stream") + events.joinToString("") { chunk(it) } + "0\r\n\r\n")
+    }
+}
+
 private fun fixedLength(body: String, length: Int = body.length, id: String? = null) =
     RawTarget { request -> send(responseHead(request, "application/json", length, id) + body) }
 
@@ -119,20 +136,28 @@
             }
 
             it("resumes at another target exactly where the first one broke off") {
+                val release = CountDownLatch(1)
                 streaming(part("a "), part("b ", tokens = 2), end = false).use { bad ->
-                    streaming(part("c "), FINISH_EVENT, DONE_EVENT, end = true).use { good ->
+                    holdingFirst(release, part("c "), FINISH_EVENT, DONE_EVENT).use { good ->
                         withDaemon(testConfig(listOf(bad.address, good.address), emptyList())) {
-                            var resumed = 0
-                            repeat(6) {
-                                val response = sendCompletion(stream = true)
-                                response.complete shouldBe true
-                                response.text shouldContain "[DONE]"
-                                if ("a " in response.text) resumed++
+                            coroutineScope {
+                                var resumed = 0
+                                fun check(response: RawResponse) {
+                                    response.complete shouldBe true
+                                    response.text shouldContain "[DONE]"
+                                    if ("a " in response.text) resumed++
+                                }
+                                // A target that holds its first call is warming up, so the next one goes to the bad target.
+                                val first = async(Dispatchers.IO) { sendCompletion(stream = true) }
+                                eventually(5.seconds) { good.seen.shouldNotBeEmpty() }
+                                repeat(6) { check(sendCompletion(stream = true)) }
+                                release.countDown()
+                                check(first.await())
+                                val resumes = good.seen.filter { "\"resume\"" in it }
+                                resumes.forEach { it shouldContain """"resume":{"text":"a b ","tokens":3}""" }
+                                resumes shouldHaveSize resumed
+                                (resumed > 0) shouldBe true
                             }
-                            val resumes = good.seen.filter { "\"resume\"" in it }
-                            resumes.forEach { it shouldContain """"resume":{"text":"a b ","tokens":3}""" }
-                            resumes shouldHaveSize resumed
-                            (resumed > 0) shouldBe true
                         }
                     }
                 }
