--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/WholeAnswersTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/WholeAnswersTest.kt
@@ -147,7 +147,7 @@
                                     response.text shouldContain "[DONE]"
                                     if ("a " in response.text) resumed++
                                 }
-                                // A target that holds its first call is warming up, so the next one goes to the bad target.
+                                // A target that holds its first call is warming up, so the next goes to the bad one.
                                 val first = async(Dispatchers.IO) { sendCompletion(stream = true) }
                                 eventually(5.seconds) { good.seen.shouldNotBeEmpty() }
                                 repeat(6) { check(sendCompletion(stream = true)) }
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
@@ -19,6 +19,9 @@
 /** Heap that an exchange may take before it gives up; the limits of the codec are far below. */
 private const val MAX_HEAP_GROWTH_BYTES = 64L * 1024 * 1024
 
+/** Bytes that the reader takes before it gives up. */
+private const val MAX_READ_BYTES = 1024 * 1024
+
 /** Accepts one connection, sends [first] and then [rest] again and again until the client closes. */
 private class EndlessTarget(private val first: String, private val rest: String) : AutoCloseable {
     private val socket = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
@@ -45,6 +48,7 @@
     override fun close() = socket.close()
 }
 
+@Suppress("ExplicitGarbageCollectionCall") // Only live memory shows whether bytes are kept.
 private fun usedHeap(): Long {
     System.gc()
     return Runtime.getRuntime().run { totalMemory() - freeMemory() }
@@ -55,12 +59,10 @@
         suspend fun NettyTargetClient.get(address: String): ExchangeResult<Int> =
             exchange(TargetRequest("GET", "http://$address/", Headers.Empty)) { response ->
                 var received = 0
-                while (true) {
-                    when (val part = response.body.next()) {
-                        is BodyPart.Bytes -> received += part.bytes.size
-                        is BodyPart.End -> break
-                    }
-                    if (received > 1024 * 1024) break
+                var part = response.body.next()
+                while (part is BodyPart.Bytes && received <= MAX_READ_BYTES) {
+                    received += part.bytes.size
+                    part = response.body.next()
                 }
                 received
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -33,7 +33,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -252,7 +251,7 @@
             task,
             "target" to engine.id.value,
             "end" to end.describe(),
-            "elapsed_ms" to elapsed.ms(),
+            "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
         )
         progress[task.item.id] = before.afterRun(end, clock.now())
         wake.trySend(Unit)
@@ -306,17 +305,6 @@
         events.record(name, links, attributes.toMap())
     }
 
-    private fun RunOutcome.describe(): String = when (this) {
-        is RunOutcome.Complete -> "complete after ${transcript.lastEventNumber} events"
-        is RunOutcome.Interrupted -> "interrupted after ${transcript.lastEventNumber} events: $reason"
-        is RunOutcome.Incompatible -> "unfit: $reason"
-        RunOutcome.Failed -> "failed"
-        RunOutcome.Unprocessable -> "impossible"
-        is RunOutcome.NotRun -> "not run: $reason"
-    }
-
-    private fun Duration.ms() = "$inWholeMilliseconds"
-
     private companion object {
         /** Maximum time between scheduling rounds; a backoff or a retention ends without a notification. */
         val POLL_INTERVAL = 100.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -50,6 +50,16 @@
     data class NotRun(val reason: String) : RunOutcome
 }
 
+/** Text for events. */
+internal fun RunOutcome.describe(): String = when (this) {
+    is RunOutcome.Complete -> "complete after ${transcript.lastEventNumber} events"
+    is RunOutcome.Interrupted -> "interrupted after ${transcript.lastEventNumber} events: $reason"
+    is RunOutcome.Incompatible -> "unfit: $reason"
+    RunOutcome.Failed -> "failed"
+    RunOutcome.Unprocessable -> "impossible"
+    is RunOutcome.NotRun -> "not run: $reason"
+}
+
 /** Runs items at engines and collects their event streams into transcripts. */
 internal class SampleRunner(
     private val gateway: TargetGateway,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -79,6 +80,9 @@
     private val backoff = storeBackoff()
     private val confirmation = Mutex()
 
+    /** Signals that a caller waits for the view, which ends the pause before the next read. */
+    private val awaited = Channel<Unit>(Channel.CONFLATED)
+
     /** Current read position and freshness. */
     val state: StateFlow<FollowerState> = current.asStateFlow()
 
@@ -101,7 +105,13 @@
                 is TopicReadResult.Unavailable -> markUnavailable(read.reason)
             }
             failures = if (succeeded) 0 else failures + 1
-            delay(if (succeeded) pace().interval else backoff.delayAfter(failures))
+            if (succeeded) {
+                withTimeoutOrNull(pace().interval) {
+                    awaited.receive()
+                }
+            } else {
+                delay(backoff.delayAfter(failures))
+            }
         }
     }
 
@@ -114,6 +124,7 @@
         val sentAt = clock.now()
         when (val read = log.read(topic, from, Duration.ZERO)) {
             is TopicReadResult.Page -> {
+                if (state.value.next < read.next) awaited.trySend(Unit)
                 state.first { it.next >= read.next }
                 (read.next >= read.end).also { if (it) markCaughtUp(sentAt) }
             }
