Stay ready through one lost answer of the store; reload after a failed run

Cause, by reading the change: with long polls of 1 s a single lost answer (1 s, 0.7 s and the read after it) took a view past the 2 s at which an instance calls itself unready, where it was 1.5 s before; and engines whose load was under way when the loader failed would never have been loaded again by this holder. Change: 3.5 s, and the loader forgets loads of a failed run.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -299,8 +299,11 @@
         /** Time within which an order that timed out takes effect, if it still does. */
         val LATE_EFFECT_TIME = 500.milliseconds
 
-        /** Maximum age of a view; above it, callers are better served by other instances. */
-        val MAX_VIEW_AGE = 2.seconds
+        /**
+         * Maximum age of a view; above it, callers are better served by other instances. One long poll whose answer is
+         * lost, and the read after it, stay below.
+         */
+        val MAX_VIEW_AGE = 3500.milliseconds
 
         /** Maximum caller connections: half of the file descriptors of the smallest machines (2,212), rounded down. */
         const val MAX_CALLER_CONNECTIONS = 1000
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -67,6 +67,7 @@
 
     /** Places models and starts loads until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = coroutineScope {
+        loading.clear() // left by a run that failed
         while (true) {
             duty.awaitLease()
             if (duty.mayAct(MAX_ORDER_TIME)) runOnce(this)
