--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -94,6 +94,7 @@
             val sentAt = clock.now()
             val read = if (initialized) log.read(topic, current.value.next, pollTimeout()) else log.newest(topic)
             val succeeded = read !is TopicReadResult.Unavailable
+            if (!initialized || !succeeded) recordRead(read, initialized, failures, clock.now() - sentAt)
             when (read) {
                 is TopicReadResult.Page -> {
                     applyPage(read, sentAt, reset = !initialized)
@@ -187,6 +188,29 @@
         }
     }
 
+    /** Records each read of a snapshot and each read that failed; reads that follow the topic are too many. */
+    private fun recordRead(read: TopicReadResult, initialized: Boolean, failures: Int, elapsed: Duration) {
+        val position = if (initialized) "${current.value.next.value}" else "snapshot"
+        val attributes = mapOf(
+            "topic" to topic.value,
+            "position" to position,
+            "failures_before" to "$failures",
+            "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
+        )
+        when (read) {
+            is TopicReadResult.Page -> {
+                val bytes = read.records.sumOf { it.key.length + (it.value?.size ?: 0) }
+                val counts = mapOf("records" to "${read.records.size}", "bytes" to "$bytes")
+                events.record("topic.snapshot_read", EventLinks(offset = read.end), attributes + counts)
+            }
+
+            is TopicReadResult.Unavailable ->
+                events.record("topic.read_failed", EventLinks(), attributes + ("reason" to read.reason))
+
+            is TopicReadResult.Expired -> Unit
+        }
+    }
+
     private fun skipTo(first: Offset) = current.update { it.copy(next = first) }
 
     private fun markUnavailable(reason: String) {
