--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
@@ -80,6 +80,25 @@
     ) : TopicReadResult
 }
 
+/** Result of a read of a part of the newest records of a topic. */
+public sealed interface TopicSnapshotResult {
+    /** Newest records of consecutive keys. */
+    public class Page(
+        /** Records in ascending order of their keys. */
+        public val records: List<StoredTopicRecord>,
+        /** Offset after the last record of the topic. */
+        public val end: Offset,
+        /** Key after which the next page begins; null if this is the last page. */
+        public val continueAfter: String?,
+    ) : TopicSnapshotResult
+
+    /** The store gave no usable response. */
+    public data class Unavailable(
+        /** Description of the failure, for messages. */
+        public val reason: String,
+    ) : TopicSnapshotResult
+}
+
 /** Slots of a group that are assigned to a member at one point in time. */
 public data class SlotGrant(
     /** Generation of the assignment, passed back to the store with the next join. */
@@ -112,10 +131,11 @@
     public suspend fun read(topic: TopicName, from: Offset, wait: Duration): TopicReadResult
 
     /**
-     * Latest record of each key, in order of offset. Reading on from the next offset of the returned
-     * [TopicReadResult.Page] misses no record, but may return records again that were already returned here.
+     * One page of the newest record of each key greater than [after], or from the first key on. Pages are not a
+     * consistent snapshot: reading on from the end of the first page misses no record, but may return records again
+     * that were already returned here. The read fails after [silence] without a byte of the response.
      */
-    public suspend fun newest(topic: TopicName): TopicReadResult
+    public suspend fun newest(topic: TopicName, after: String?, silence: Duration): TopicSnapshotResult
 
     /**
      * Joins [group] as [member], or renews the membership, for [ttl]. [generation] is that of the last grant. Returns
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -46,7 +46,7 @@
     private val current = MutableStateFlow(JobTable())
 
     /** Follows the jobs topic and feeds its records to this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events, pace)
+    val follower = TopicFollower(log, Topic, this, clock, events, pace = pace)
 
     /** Current jobs; a new value after each batch of records. */
     val table: StateFlow<JobTable> = current.asStateFlow()
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
@@ -0,0 +1,81 @@
+package dev.vanillarun.hosted.store
+
+import dev.vanillarun.core.log.Offset
+import dev.vanillarun.core.store.StoredTopicRecord
+import dev.vanillarun.core.store.TopicLog
+import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.store.TopicReadResult
+import dev.vanillarun.core.store.TopicSnapshotResult
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Progress of a [SnapshotReader] after one read of the store. */
+internal sealed interface SnapshotStep {
+    /** More pages follow. */
+    data object Partial : SnapshotStep
+
+    /** [page] has the newest record of each key. */
+    class Complete(val page: TopicReadResult.Page) : SnapshotStep
+
+    /** The page could not be read; the next read asks for it again. */
+    data class Failed(val reason: String) : SnapshotStep
+}
+
+/**
+ * Reads the newest record of each key of [topic], one page at a time, up to the first key that begins with [endPrefix].
+ *
+ * When many instances start at once, a page waits in the store until the pages of the others are sent. A page that
+ * failed is therefore the only one to be read again, and each failure doubles the time that the next read may stay
+ * silent: otherwise the store would send nothing but repeats that are given up while they are on their way.
+ */
+internal class SnapshotReader(
+    private val log: TopicLog,
+    private val topic: TopicName,
+    private val endPrefix: String? = null,
+) {
+    private val records = mutableListOf<StoredTopicRecord>()
+    private var end: Offset? = null
+
+    /** Key after which the next page begins; null before the first page. */
+    var after: String? = null
+        private set
+
+    /** True once the last page has been read. */
+    var isComplete = false
+        private set
+
+    private var silence = MIN_SILENCE
+
+    /** Reads the next page. */
+    suspend fun next(): SnapshotStep = when (val read = log.newest(topic, after, silence)) {
+        is TopicSnapshotResult.Page -> {
+            silence = MIN_SILENCE
+            accept(read)
+        }
+
+        is TopicSnapshotResult.Unavailable -> {
+            silence = minOf(silence * 2, MAX_SILENCE)
+            SnapshotStep.Failed(read.reason)
+        }
+    }
+
+    private fun accept(page: TopicSnapshotResult.Page): SnapshotStep {
+        val firstEnd = end ?: page.end.also { end = it }
+        val wanted = page.records.filterNot { endPrefix != null && it.key.startsWith(endPrefix) }
+        // Records that were appended after the first page are left to the reads that follow the topic.
+        records += wanted.filter { it.offset < firstEnd }
+        after = page.continueAfter
+        isComplete = after == null || wanted.size < page.records.size
+        if (!isComplete) return SnapshotStep.Partial
+        return SnapshotStep.Complete(TopicReadResult.Page(records.sortedBy { it.offset }, firstEnd, firstEnd))
+    }
+
+    private companion object {
+        /** Silence after which the first read of a page fails; a connection may have gone silent for good. */
+        val MIN_SILENCE = 700.milliseconds
+
+        /** Limit of the doubled silence: the store sends a page to each of several hundred instances in this time. */
+        val MAX_SILENCE = 6.seconds
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -66,7 +66,8 @@
  *
  * A keyed topic starts with the newest record of each key, and starts over when the next offset is no longer retained;
  * an unkeyed topic skips to the first retained offset. [pace] is asked before each read. A view that must be fresher
- * than the long poll makes it is confirmed on demand, see [confirm].
+ * than the long poll makes it is confirmed on demand, see [confirm]. The start leaves out the keys that begin with
+ * [deferredPrefix], which have to be the last ones of the topic.
  */
 internal class TopicFollower(
     private val log: TopicLog,
@@ -74,6 +75,7 @@
     private val sink: TopicSink,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
+    private val deferredPrefix: String? = null,
     private val pace: () -> ReadPace = { ReadPace() },
 ) {
     private val current = MutableStateFlow(FollowerState())
@@ -89,33 +91,75 @@
     /** Reads until the calling coroutine is cancelled; failed reads are retried with backoff. */
     suspend fun run(): Nothing {
         var failures = 0
-        var initialized = !topic.keyed
+        var snapshot = if (topic.keyed) newSnapshot() else null
         while (true) {
             val sentAt = clock.now()
-            val read = if (initialized) log.read(topic, current.value.next, pollTimeout()) else log.newest(topic)
-            val succeeded = read !is TopicReadResult.Unavailable
-            if (!initialized || !succeeded) recordRead(read, initialized, failures, clock.now() - sentAt)
-            when (read) {
-                is TopicReadResult.Page -> {
-                    applyPage(read, sentAt, reset = !initialized)
-                    initialized = true
-                }
-
-                is TopicReadResult.Expired -> if (topic.keyed) initialized = false else skipTo(read.first)
-
-                is TopicReadResult.Unavailable -> markUnavailable(read.reason)
+            val outcome = snapshot?.let { readSnapshot(it, sentAt, failures) } ?: follow(sentAt, failures)
+            if (snapshot?.isComplete == true) snapshot = null
+            failures = if (outcome == ReadOutcome.FAILED) failures + 1 else 0
+            when (outcome) {
+                ReadOutcome.CAUGHT_UP -> withTimeoutOrNull(pace().interval) { awaited.receive() }
+                ReadOutcome.BEHIND -> Unit
+                ReadOutcome.EXPIRED -> snapshot = newSnapshot()
+                ReadOutcome.FAILED -> delay(backoff.delayAfter(failures))
             }
-            failures = if (succeeded) 0 else failures + 1
-            if (succeeded) {
-                withTimeoutOrNull(pace().interval) {
-                    awaited.receive()
-                }
-            } else {
-                delay(backoff.delayAfter(failures))
+        }
+    }
+
+    private enum class ReadOutcome { CAUGHT_UP, BEHIND, EXPIRED, FAILED }
+
+    private fun newSnapshot() = SnapshotReader(log, topic, deferredPrefix)
+
+    private suspend fun readSnapshot(snapshot: SnapshotReader, sentAt: Instant, failures: Int): ReadOutcome {
+        val after = snapshot.after
+        val step = snapshot.next()
+        val position = mapOf("position" to "snapshot after ${after ?: "start"}", "failures_before" to "$failures")
+        return when (step) {
+            SnapshotStep.Partial -> ReadOutcome.BEHIND
+
+            is SnapshotStep.Complete -> {
+                val bytes = step.page.records.sumOf { it.key.length + (it.value?.size ?: 0) }
+                val counts = mapOf("records" to "${step.page.records.size}", "bytes" to "$bytes")
+                record("topic.snapshot_read", sentAt, position + counts)
+                applyPage(step.page, sentAt, reset = true)
+                ReadOutcome.CAUGHT_UP
+            }
+
+            is SnapshotStep.Failed -> {
+                record("topic.read_failed", sentAt, position + ("reason" to step.reason))
+                markUnavailable(step.reason)
+                ReadOutcome.FAILED
             }
         }
     }
 
+    private suspend fun follow(sentAt: Instant, failures: Int): ReadOutcome {
+        val from = current.value.next
+        return when (val read = log.read(topic, from, pollTimeout())) {
+            is TopicReadResult.Page -> {
+                applyPage(read, sentAt, reset = false)
+                if (read.next >= read.end) ReadOutcome.CAUGHT_UP else ReadOutcome.BEHIND
+            }
+
+            is TopicReadResult.Expired -> {
+                if (!topic.keyed) skipTo(read.first)
+                if (topic.keyed) ReadOutcome.EXPIRED else ReadOutcome.BEHIND
+            }
+
+            is TopicReadResult.Unavailable -> {
+                val position = mapOf("position" to "${from.value}", "failures_before" to "$failures")
+                record("topic.read_failed", sentAt, position + ("reason" to read.reason))
+                markUnavailable(read.reason)
+                ReadOutcome.FAILED
+            }
+        }
+    }
+
+    private fun record(name: String, sentAt: Instant, attributes: Map<String, String>) {
+        val elapsed = (clock.now() - sentAt).inWholeMilliseconds
+        events.record(name, EventLinks(), attributes + mapOf("topic" to topic.value, "elapsed_ms" to "$elapsed"))
+    }
+
     /**
      * Reads the end of the topic from the store and waits until the sink has received every record before it. Returns
      * false after [timeout], or if the read fails or does not reach the end.
@@ -188,29 +232,6 @@
         }
     }
 
-    /** Records each read of a snapshot and each read that failed; reads that follow the topic are too many. */
-    private fun recordRead(read: TopicReadResult, initialized: Boolean, failures: Int, elapsed: Duration) {
-        val position = if (initialized) "${current.value.next.value}" else "snapshot"
-        val attributes = mapOf(
-            "topic" to topic.value,
-            "position" to position,
-            "failures_before" to "$failures",
-            "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
-        )
-        when (read) {
-            is TopicReadResult.Page -> {
-                val bytes = read.records.sumOf { it.key.length + (it.value?.size ?: 0) }
-                val counts = mapOf("records" to "${read.records.size}", "bytes" to "$bytes")
-                events.record("topic.snapshot_read", EventLinks(offset = read.end), attributes + counts)
-            }
-
-            is TopicReadResult.Unavailable ->
-                events.record("topic.read_failed", EventLinks(), attributes + ("reason" to read.reason))
-
-            is TopicReadResult.Expired -> Unit
-        }
-    }
-
     private fun skipTo(first: Offset) = current.update { it.copy(next = first) }
 
     private fun markUnavailable(reason: String) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
@@ -11,21 +11,21 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
 
-/** Time of the latest progress of an exchange: its head, or a whole event. Single bytes are no progress. */
-internal class Activity(private val clock: MonotonicClock) {
+/** Time of the latest progress of an exchange; what counts as progress is up to the reader of the response. */
+public class Activity internal constructor(private val clock: MonotonicClock) {
     /** Time of the latest [received] call; the creation time before the first. */
     @Volatile
-    var last: Instant = clock.now()
+    internal var last: Instant = clock.now()
         private set
 
     /** Resets the stall timeout. */
-    fun received() {
+    public fun received() {
         last = clock.now()
     }
 }
 
 /** Runs [block]; cancels it and returns null once [Activity.received] was not called for [limit]. */
-internal suspend fun <T> withStallLimit(limit: Duration, clock: MonotonicClock, block: suspend (Activity) -> T): T? =
+public suspend fun <T> withStallLimit(limit: Duration, clock: MonotonicClock, block: suspend (Activity) -> T): T? =
     coroutineScope {
         val activity = Activity(clock)
         val work = async { block(activity) }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -9,8 +9,10 @@
 import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.store.TopicReadResult
 import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.store.TopicSnapshotResult
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CopyOnWriteArraySet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -110,11 +112,20 @@
         )
     }
 
-    override suspend fun newest(topic: TopicName): TopicReadResult {
-        if (!up) return TopicReadResult.Unavailable("down")
+    /** Number of records of a page of a snapshot. */
+    var snapshotPageRecords = Int.MAX_VALUE
+
+    /** Keys after which pages of a snapshot were asked for, in order; null for a first page. */
+    val snapshotReads = CopyOnWriteArrayList<String?>()
+
+    override suspend fun newest(topic: TopicName, after: String?, silence: Duration): TopicSnapshotResult {
+        snapshotReads += after
+        if (!up) return TopicSnapshotResult.Unavailable("down")
         val list = all(topic)
-        val newest = list.associateBy { it.key }.values.filter { it.value != null }.sortedBy { it.offset }
-        return TopicReadResult.Page(newest, Offset(list.size.toLong()), Offset(list.size.toLong()))
+        val newest = list.associateBy { it.key }.values.filter { it.value != null && it.key > after.orEmpty() }
+        val page = newest.sortedBy { it.key }.take(snapshotPageRecords)
+        val last = page.lastOrNull()?.key?.takeIf { page.size < newest.size }
+        return TopicSnapshotResult.Page(page, Offset(list.size.toLong()), last)
     }
 
     /** Members of the only group that this store has. */
