Store the text of a result apart, and read texts when results are listed

Change: a result refers to its text, which is a record of its own in the same append (all or nothing) under the last keys of the topic. A start reads the keys before them; the texts of a job are read when its results are listed, from the first one that is missing; those that come while the instance follows the topic are kept as before. Results with their text inside, as older builds wrote them, are read as before.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/ItemResult.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/ItemResult.kt
@@ -28,4 +28,6 @@
     public val versions: List<Long> = emptyList(),
     /** Signature of the response to the reward call; null if the item was not scored. */
     public val score: String? = null,
+    /** Writer of the [JobRecord.Text] that holds the text; null if [text] holds it or there is none. */
+    public val textWriter: String? = null,
 )
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -6,18 +6,41 @@
 /**
  * Converts job records to and from the keyed records of the store.
  *
- * The key of a result includes its writer, so that compaction never replaces the result of one run with that of another
+ * Texts have the last keys in the order of the store, so that a reader of all keys can end before them. The key of a result includes its writer, so that compaction never replaces the result of one run with that of another
  * and the first result in the log stays the first.
  */
 public object JobRecordCodec {
     private const val SUBMITTED = "job"
     private const val FINISHED = "result"
     private const val ENDED = "end"
+    private const val TEXT = "text"
     private const val KEY_PARTS = 2
+    private const val TEXT_KEY_PARTS = 4
+
+    /** Beginning of the keys of all texts; it sorts after the keys of all other records. */
+    public const val TEXT_PREFIX: String = "$TEXT/"
+
     private val json = Json { ignoreUnknownKeys = true }
 
-    /** Encodes [record] as a keyed record; [writer] must be unique to this run of the process. */
-    public fun encode(record: JobRecord, writer: String): TopicRecord = when (record) {
+    /** Beginning of the keys of the texts of [job]. */
+    public fun textPrefix(job: JobId): String = "$TEXT_PREFIX$job/"
+
+    /** Key that sorts directly before the keys of all texts of [item]. */
+    public fun beforeTexts(job: JobId, item: ItemId): String = "${textPrefix(job)}$item"
+
+    /**
+     * Returns [record] as a keyed record; [writer] must be unique to this run of the process. A [JobRecord.Finished]
+     * with a text becomes two records, to be appended together: its text and a result that refers to it.
+     */
+    public fun encode(record: JobRecord, writer: String): List<TopicRecord> {
+        val result = (record as? JobRecord.Finished)?.result
+        if (result == null || result.text.isEmpty()) return listOf(encodeOne(record, writer))
+        val text = JobRecord.Text(record.job, TextKey(result.item, writer), result.text)
+        val reference = JobRecord.Finished(record.job, result.copy(text = "", textWriter = writer))
+        return listOf(encodeOne(text, writer), encodeOne(reference, writer))
+    }
+
+    private fun encodeOne(record: JobRecord, writer: String): TopicRecord = when (record) {
         is JobRecord.Submitted ->
             TopicRecord("$SUBMITTED/${record.job}", json.encodeToString(Job.serializer(), record.content).bytes())
 
@@ -26,6 +49,9 @@
             json.encodeToString(ItemResult.serializer(), record.result).bytes(),
         )
 
+        is JobRecord.Text ->
+            TopicRecord("${textPrefix(record.job)}${record.key.item}/${record.key.writer}", record.text.bytes())
+
         is JobRecord.Ended -> TopicRecord("$ENDED/${record.job}", "{}".bytes())
     }
 
@@ -46,6 +72,8 @@
 
                 ENDED -> JobRecord.Ended(job)
 
+                TEXT -> textKey(parts)?.let { JobRecord.Text(job, it, value.decodeToString()) }
+
                 else -> null
             }
         } catch (_: IllegalArgumentException) {
@@ -53,5 +81,8 @@
         }
     }
 
+    private fun textKey(parts: List<String>): TextKey? =
+        if (parts.size == TEXT_KEY_PARTS) TextKey(ItemId(parts[2]), parts[TEXT_KEY_PARTS - 1]) else null
+
     private fun String.bytes() = encodeToByteArray()
 }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
@@ -4,6 +4,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 
 /** Event in the life of a job, as it is stored. */
 public sealed interface JobRecord {
@@ -25,10 +27,30 @@
         public val result: ItemResult,
     ) : JobRecord
 
+    /**
+     * Text of an item, stored in the same append as the [Finished] record that refers to it. Texts are by far the
+     * largest part of a job, and apart from the results a reader can leave them out until they are asked for.
+     */
+    public data class Text(
+        override val job: JobId,
+        /** Which text of the job this is. */
+        public val key: TextKey,
+        /** Data of all events in order, separated by line feeds. */
+        public val text: String,
+    ) : JobRecord
+
     /** The submitter ended the job and needs no further results. */
     public data class Ended(override val job: JobId) : JobRecord
 }
 
+/** Key of a text within its job: several runs of the same item may each write one. */
+public data class TextKey(
+    /** Item that the text belongs to. */
+    public val item: ItemId,
+    /** Writer of the text, unique to a run of a process. */
+    public val writer: String,
+)
+
 /** State of a job after the records that were read so far. */
 public data class JobView(
     /** The submitted job; null if results were read before the submission. */
@@ -39,6 +61,8 @@
     public val positions: PersistentMap<ItemId, Int> = persistentMapOf(),
     /** True once the submitter ended the job. */
     public val ended: Boolean = false,
+    /** Texts of items that have no result yet. */
+    public val texts: PersistentMap<TextKey, String> = persistentMapOf(),
 ) {
     /** True while the job was submitted, not ended, and items without a result remain. */
     public val open: Boolean get() = job != null && !ended && results.size < job.items.size
@@ -60,6 +84,7 @@
         val after = when (record) {
             is JobRecord.Submitted -> if (before.job == null) before.copy(job = record.content) else before
             is JobRecord.Finished -> before.withResult(record.result)
+            is JobRecord.Text -> before.withText(record.key, record.text)
             is JobRecord.Ended -> before.copy(ended = true)
         }
         return if (after === before) this else JobTable(jobs.put(record.job, after))
@@ -68,8 +93,37 @@
     /** Returns the table with [job] removed. */
     public fun without(job: JobId): JobTable = JobTable(jobs.remove(job))
 
+    /** Returns the table with the texts that [other] has for the same results. */
+    public fun withTextsOf(other: JobTable): JobTable {
+        val merged = jobs.mapValues { (id, view) -> other.jobs[id]?.let { view.withTextsOf(it) } ?: view }
+        return JobTable(merged.toPersistentMap())
+    }
+
+    private fun JobView.withTextsOf(other: JobView): JobView {
+        val merged = results.mapIndexed { at, result ->
+            val known = other.results.getOrNull(at)?.takeIf { it.item == result.item && it.textWriter == null }
+            if (result.textWriter == null || known == null) result else known
+        }
+        return copy(results = merged.toPersistentList())
+    }
+
     private fun JobView.withResult(result: ItemResult): JobView {
         if (result.item in positions) return this
-        return copy(results = results.add(result), positions = positions.put(result.item, results.size))
+        val text = result.textWriter?.let { texts[TextKey(result.item, it)] }
+        val remaining = texts.keys.filter { it.item == result.item }.fold(texts) { left, key -> left.remove(key) }
+        return copy(
+            results = results.add(if (text == null) result else result.withText(text)),
+            positions = positions.put(result.item, results.size),
+            texts = remaining,
+        )
     }
+
+    private fun JobView.withText(key: TextKey, text: String): JobView {
+        val position = positions[key.item] ?: return copy(texts = texts.put(key, text))
+        val result = results[position]
+        if (result.textWriter != key.writer) return this
+        return copy(results = results.set(position, result.withText(text)))
+    }
+
+    private fun ItemResult.withText(text: String) = copy(text = text, textWriter = null)
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -2,11 +2,15 @@
 
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobRecord
+import dev.vanillarun.core.job.JobRecordCodec
 import dev.vanillarun.core.job.JobTable
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.store.StoredTopicRecord
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.store.TopicSnapshotResult
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -17,6 +21,9 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,35 +43,45 @@
 /** Part of the results of a job: [total] items in the job, [results], and the position [next] to continue from. */
 internal class ResultPage(val total: Int, val next: Int, val results: List<ItemResult>)
 
-/** View of the jobs topic: all jobs of the fleet and their results. [pace] is how often the store is read. */
+/**
+ * View of the jobs topic: all jobs of the fleet and their results. [pace] is how often the store is read.
+ *
+ * A new view has no texts, since they are most of the bytes of the topic and no instance lists more than a part of
+ * them. The texts of a job are read when its results are first listed; later ones come with their results.
+ */
 internal class JobBoard(
-    log: TopicLog,
-    clock: MonotonicClock,
+    private val log: TopicLog,
+    private val clock: MonotonicClock,
     private val events: EventRecorder,
     pace: () -> ReadPace = { RunnerPace },
 ) : TopicSink {
     private val current = MutableStateFlow(JobTable())
 
     /** Follows the jobs topic and feeds its records to this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events, pace = pace)
+    val follower = TopicFollower(log, Topic, this, clock, events, JobRecordCodec.TEXT_PREFIX, pace)
+
+    /** Held while texts are read, so that callers of the same job share the reads. */
+    private val textReads = Mutex()
 
     /** Current jobs; a new value after each batch of records. */
     val table: StateFlow<JobTable> = current.asStateFlow()
 
     override fun reset(records: List<StoredTopicRecord>) {
-        current.value = records.fold(JobTable(), ::fold)
+        val decoded = records.mapNotNull(::decode)
+        current.update { before -> decoded.fold(JobTable(), JobTable::apply).withTextsOf(before) }
     }
 
     override fun accept(records: List<StoredTopicRecord>) {
-        current.value = records.fold(current.value, ::fold)
+        val decoded = records.mapNotNull(::decode)
+        current.update { before -> decoded.fold(before, JobTable::apply) }
     }
 
-    private fun fold(table: JobTable, stored: StoredTopicRecord): JobTable {
+    private fun decode(stored: StoredTopicRecord): JobRecord? {
         val record = JobRecords.decode(stored.key, stored.value)
         if (record == null && stored.value != null) {
             events.record("job.record_ignored", EventLinks(offset = stored.offset), mapOf("key" to stored.key))
         }
-        return if (record == null) table else table.apply(record)
+        return record
     }
 
     /** Finds [id]; catches up with the store first if the local view does not have it. */
@@ -82,10 +99,52 @@
             else -> return if (lookup == LookupResult.Absent) LookupResult.Absent else LookupResult.Unknown
         }
         val view = if (found.results.size > after) found else awaitResult(id, after, wait) ?: found
-        val page = page(view, after)
-        if (page.results.isNotEmpty()) return LookupResult.Found(page)
+        if (view.results.size > after) return listed(id, view, after)
         if (!follower.confirm(MAX_CURRENT_AGE, LOOKUP_TIMEOUT)) return LookupResult.Unknown
-        return LookupResult.Found(localJob(id)?.let { page(it, after) } ?: page)
+        return listed(id, localJob(id) ?: view, after)
+    }
+
+    /** Returns the results of [view] from [after] on with their texts, which may take reads of the store. */
+    private suspend fun listed(id: JobId, view: JobView, after: Int): LookupResult<ResultPage> {
+        val page = page(view, after)
+        if (page.results.all { it.textWriter == null }) return LookupResult.Found(page)
+        val complete = withTimeoutOrNull(TEXT_TIMEOUT) { textReads.withLock { readTexts(id, after) } } ?: false
+        val loaded = if (complete) localJob(id)?.let { page(it, after) } else null
+        return if (loaded == null) LookupResult.Unknown else LookupResult.Found(loaded)
+    }
+
+    /** Reads the texts of the results of [id] from [after] on; false if the store does not return them. */
+    private suspend fun readTexts(id: JobId, after: Int): Boolean {
+        val startedAt = clock.now()
+        var from: String? = null
+        var pages = 0
+        while (true) {
+            val missing = localJob(id)?.results.orEmpty().drop(after).filter { it.textWriter != null }
+            if (missing.isEmpty()) break
+            val start = maxOf(from.orEmpty(), JobRecordCodec.beforeTexts(id, missing.minBy { it.item.value }.item))
+            val read = log.newest(Topic, start, TEXT_SILENCE)
+            if (read !is TopicSnapshotResult.Page) return recordTexts(id, pages, missing.size, startedAt, "$read")
+            pages++
+            val prefix = JobRecordCodec.textPrefix(id)
+            accept(read.records.filter { it.key.startsWith(prefix) })
+            from = read.continueAfter?.takeIf { it.startsWith(prefix) }
+                ?: return recordTexts(id, pages, missing = localMissing(id, after), startedAt, "the last text was read")
+        }
+        return recordTexts(id, pages, missing = 0, startedAt, "complete")
+    }
+
+    private fun localMissing(id: JobId, after: Int) =
+        localJob(id)?.results.orEmpty().drop(after).count { it.textWriter != null }
+
+    private fun recordTexts(id: JobId, pages: Int, missing: Int, startedAt: Instant, end: String): Boolean {
+        val attributes = mapOf(
+            "pages" to "$pages",
+            "missing" to "$missing",
+            "end" to end,
+            "elapsed_ms" to "${(clock.now() - startedAt).inWholeMilliseconds}",
+        )
+        events.record("job.texts_read", EventLinks(request = id.value), attributes)
+        return missing == 0
     }
 
     private fun localJob(id: JobId): JobView? = current.value.jobs[id]?.takeIf { it.job != null }
@@ -124,6 +183,12 @@
         /** Timeout for catching up with the store when a job is not in the local view. */
         private val LOOKUP_TIMEOUT = 600.milliseconds
 
+        /** Time after which a caller that lists results is told to come back; the texts read so far are kept. */
+        private val TEXT_TIMEOUT = 2500.milliseconds
+
+        /** Silence of the store after which a read of texts fails. */
+        private val TEXT_SILENCE = 1500.milliseconds
+
         /** Maximum age of a view that may report no further results; a result may take 1 s to become visible. */
         private val MAX_CURRENT_AGE = 900.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRecords.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRecords.kt
@@ -17,11 +17,9 @@
     private const val GZIP_MAGIC_1: Byte = 0x1f
     private const val GZIP_MAGIC_2: Byte = 0x8b.toByte()
 
-    /** Encodes [record] for the store; [writer] is unique to this process run. */
-    fun encode(record: JobRecord, writer: String): TopicRecord {
-        val plain = JobRecordCodec.encode(record, writer)
-        return TopicRecord(plain.key, plain.value?.let(::compressed))
-    }
+    /** Encodes [record] as records to append together; [writer] is unique to this process run. */
+    fun encode(record: JobRecord, writer: String): List<TopicRecord> =
+        JobRecordCodec.encode(record, writer).map { TopicRecord(it.key, it.value?.let(::compressed)) }
 
     /** Decodes [value] under [key]; null for a tombstone, a damaged record or one of an unknown format. */
     fun decode(key: String, value: ByteArray?): JobRecord? = try {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
@@ -28,7 +28,7 @@
 ) {
     private enum class Stage { QUEUED, IN_FLIGHT, WITHDRAWN }
 
-    private class Entry(val record: TopicRecord, val mayRefuse: Boolean) {
+    private class Entry(val records: List<TopicRecord>, val mayRefuse: Boolean) {
         val stage = AtomicReference(Stage.QUEUED)
         val outcome = CompletableDeferred<TopicAppendResult>()
     }
@@ -38,19 +38,25 @@
     private var sequence = 0L
     private var carriedOver: Entry? = null
 
-    /** Appends [record], with unlimited retries; returns once the store has confirmed it. */
-    suspend fun append(record: TopicRecord) {
-        val entry = Entry(record, mayRefuse = false)
+    /** Appends [record] as [append] of a list does. */
+    suspend fun append(record: TopicRecord): Unit = append(listOf(record))
+
+    /** Appends [records] together, with unlimited retries; returns once the store has confirmed them. */
+    suspend fun append(records: List<TopicRecord>) {
+        val entry = Entry(records, mayRefuse = false)
         queue.send(entry)
         entry.outcome.await()
     }
 
+    /** Appends [record] as [offer] of a list does. */
+    suspend fun offer(record: TopicRecord, timeout: Duration): TopicAppendResult = offer(listOf(record), timeout)
+
     /**
-     * Appends [record] within [timeout]. Refused means that it will never be appended; InDoubt means that it may have
-     * been appended or may still be.
+     * Appends [records] together within [timeout]. Refused means that they will never be appended; InDoubt means that
+     * they may have been appended or may still be.
      */
-    suspend fun offer(record: TopicRecord, timeout: Duration): TopicAppendResult {
-        val entry = Entry(record, mayRefuse = true)
+    suspend fun offer(records: List<TopicRecord>, timeout: Duration): TopicAppendResult {
+        val entry = Entry(records, mayRefuse = true)
         if (queue.trySend(entry).isFailure) return TopicAppendResult.Refused("append queue is full")
         withTimeoutOrNull(timeout) { entry.outcome.await() }?.let { return it }
         val withdrawn = entry.stage.compareAndSet(Stage.QUEUED, Stage.WITHDRAWN)
@@ -71,7 +77,7 @@
         var next = carriedOver ?: queue.receive()
         carriedOver = null
         while (true) {
-            val size = next.record.size
+            val size = next.records.sumOf { it.size }
             if (batch.isNotEmpty() && bytes + size > MAX_BATCH_BYTES) {
                 carriedOver = next
                 return batch
@@ -104,7 +110,7 @@
     /** An unexpected error says nothing about the store, so the outcome is in doubt and the batch is sent again. */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun send(batch: List<Entry>): TopicAppendResult = try {
-        log.append(topic, batch.map { it.record }, AppendIdentity(producer, sequence))
+        log.append(topic, batch.flatMap { it.records }, AppendIdentity(producer, sequence))
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
