--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
@@ -7,7 +7,6 @@
 import dev.vanillarun.core.store.TopicReadResult
 import dev.vanillarun.core.store.TopicSnapshotResult
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Progress of a [SnapshotReader] after one read of the store. */
@@ -72,10 +71,10 @@
     }
 
     private companion object {
-        /** Silence after which the first read of a page fails; a connection may have gone silent for good. */
-        val MIN_SILENCE = 700.milliseconds
+        /** Silence after which the first read of a page fails: the store sends a page to a hundred instances meanwhile. */
+        val MIN_SILENCE = 2.seconds
 
-        /** Limit of the doubled silence: the store sends a page to each of several hundred instances in this time. */
-        val MAX_SILENCE = 6.seconds
+        /** Limit of the doubled silence; a connection may have gone silent for good. */
+        val MAX_SILENCE = 8.seconds
     }
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
@@ -45,7 +45,7 @@
                 val page = reader.next().shouldBeInstanceOf<SnapshotStep.Complete>().page
                 page.records.map { it.key } shouldContainExactly listOf("a", "b", "c", "d", "e")
                 store.snapshotReads shouldContainExactly listOf(null, "b", "b", "b", "b", "d")
-                timed.silences.slice(2..4).zipWithNext().forEach { (shorter, longer) -> longer shouldBe shorter * 2 }
+                timed.silences.slice(1..3).zipWithNext().forEach { (shorter, longer) -> longer shouldBe shorter * 2 }
                 timed.silences[4] shouldBeGreaterThan timed.silences[5]
             }
             it("continues at the end that the topic had at the first page") {
