Store the items of a job apart, and read them when they are needed

Change: a submission names the number of its items; the items are a record of their own in the same append, under the last keys of the topic. The runner of a slot reads the items of an open job that was submitted before it started, an endpoint those that it is asked for. Submissions with their items inside, as older builds wrote them, are read as before. The property test of the codec now compares what the stored records add up to, and how many there are.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Job.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Job.kt
@@ -42,9 +42,14 @@
     public val minVersion: Long = 0,
     /** Number of complete groups that the trainer needs; 0 means all groups. */
     public val desiredGroups: Int = 0,
-    /** Items in the order of the submission. */
+    /** Items in the order of the submission; empty while they are not [loaded]. */
     public val items: List<JobItem> = emptyList(),
-)
+    /** Number of items of the submission. */
+    public val itemCount: Int = items.size,
+) {
+    /** True if [items] has all items; false if they have still to be read from their own record. */
+    public val loaded: Boolean get() = items.size == itemCount
+}
 
 /** One sample that a job requests. */
 @Serializable
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -6,44 +6,62 @@
 /**
  * Converts job records to and from the keyed records of the store.
  *
- * Texts have the last keys in the order of the store, so that a reader of all keys can end before them. The key of a result includes its writer, so that compaction never replaces the result of one run with that of another
- * and the first result in the log stays the first.
+ * Items and texts have the last keys in the order of the store, so that a reader of all keys can end before them. The
+ * key of a result includes its writer, so that compaction never replaces the result of one run with that of another and
+ * the first result in the log stays the first.
  */
 public object JobRecordCodec {
     private const val SUBMITTED = "job"
     private const val FINISHED = "result"
     private const val ENDED = "end"
+    private const val ITEMS = "tasks"
     private const val TEXT = "text"
     private const val KEY_PARTS = 2
     private const val TEXT_KEY_PARTS = 4
 
-    /** Beginning of the keys of all texts; it sorts after the keys of all other records. */
-    public const val TEXT_PREFIX: String = "$TEXT/"
-
     private val json = Json { ignoreUnknownKeys = true }
 
+    /** The keys of [JobRecord.Items] and [JobRecord.Text] sort after this one, those of all other records before it. */
+    public const val CONTENT_KEYS: String = "$ITEMS/"
+
+    /** Key that sorts directly before that of the items of [job], and begins it. */
+    public fun itemsPrefix(job: JobId): String = "$CONTENT_KEYS$job/"
+
     /** Beginning of the keys of the texts of [job]. */
-    public fun textPrefix(job: JobId): String = "$TEXT_PREFIX$job/"
+    public fun textPrefix(job: JobId): String = "$TEXT/$job/"
 
     /** Key that sorts directly before the keys of all texts of [item]. */
-    public fun beforeTexts(job: JobId, item: ItemId): String = "${textPrefix(job)}$item"
+    public fun beforeTexts(job: JobId, item: ItemId): String = "${textPrefix(job)}$item/"
 
     /**
-     * Returns [record] as a keyed record; [writer] must be unique to this run of the process. A [JobRecord.Finished]
-     * with a text becomes two records, to be appended together: its text and a result that refers to it.
+     * Returns [record] as keyed records to be appended together; [writer] must be unique to this run of the process.
+     * The items of a [JobRecord.Submitted] and the text of a [JobRecord.Finished] become records of their own.
      */
-    public fun encode(record: JobRecord, writer: String): List<TopicRecord> {
-        val result = (record as? JobRecord.Finished)?.result
-        if (result == null || result.text.isEmpty()) return listOf(encodeOne(record, writer))
-        val text = JobRecord.Text(record.job, TextKey(result.item, writer), result.text)
-        val reference = JobRecord.Finished(record.job, result.copy(text = "", textWriter = writer))
-        return listOf(encodeOne(text, writer), encodeOne(reference, writer))
+    public fun encode(record: JobRecord, writer: String): List<TopicRecord> = when {
+        record is JobRecord.Submitted && record.content.items.isNotEmpty() -> listOf(
+            encodeOne(JobRecord.Items(record.content), writer),
+            encodeOne(JobRecord.Submitted(record.content.copy(items = emptyList())), writer),
+        )
+
+        record is JobRecord.Finished && record.result.text.isNotEmpty() -> {
+            val result = record.result
+            val text = JobRecord.Text(record.job, TextKey(result.item, writer), result.text)
+            val reference = JobRecord.Finished(record.job, result.copy(text = "", textWriter = writer))
+            listOf(encodeOne(text, writer), encodeOne(reference, writer))
+        }
+
+        else -> listOf(encodeOne(record, writer))
     }
 
     private fun encodeOne(record: JobRecord, writer: String): TopicRecord = when (record) {
         is JobRecord.Submitted ->
             TopicRecord("$SUBMITTED/${record.job}", json.encodeToString(Job.serializer(), record.content).bytes())
 
+        is JobRecord.Items -> TopicRecord(
+            "${itemsPrefix(record.job)}items",
+            json.encodeToString(Job.serializer(), record.content).bytes(),
+        )
+
         is JobRecord.Finished -> TopicRecord(
             "$FINISHED/${record.job}/${record.result.item}/$writer",
             json.encodeToString(ItemResult.serializer(), record.result).bytes(),
@@ -70,6 +88,8 @@
                 FINISHED ->
                     JobRecord.Finished(job, json.decodeFromString(ItemResult.serializer(), value.decodeToString()))
 
+                ITEMS -> JobRecord.Items(json.decodeFromString(Job.serializer(), value.decodeToString()))
+
                 ENDED -> JobRecord.Ended(job)
 
                 TEXT -> textKey(parts)?.let { JobRecord.Text(job, it, value.decodeToString()) }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
@@ -20,6 +20,14 @@
         override val job: JobId get() = content.id
     }
 
+    /** The job with its items, stored in the same append as the [Submitted] record without them. */
+    public data class Items(
+        /** The submitted job. */
+        public val content: Job,
+    ) : JobRecord {
+        override val job: JobId get() = content.id
+    }
+
     /** An item reached a final state. Several runs of the same item may each write a record; the first one counts. */
     public data class Finished(
         override val job: JobId,
@@ -61,11 +69,13 @@
     public val positions: PersistentMap<ItemId, Int> = persistentMapOf(),
     /** True once the submitter ended the job. */
     public val ended: Boolean = false,
+    /** The job with its items while its submission has not been read. */
+    public val content: Job? = null,
     /** Texts of items that have no result yet. */
     public val texts: PersistentMap<TextKey, String> = persistentMapOf(),
 ) {
     /** True while the job was submitted, not ended, and items without a result remain. */
-    public val open: Boolean get() = job != null && !ended && results.size < job.items.size
+    public val open: Boolean get() = job != null && !ended && results.size < job.itemCount
 }
 
 /**
@@ -82,7 +92,8 @@
     public fun apply(record: JobRecord): JobTable {
         val before = jobs[record.job] ?: JobView()
         val after = when (record) {
-            is JobRecord.Submitted -> if (before.job == null) before.copy(job = record.content) else before
+            is JobRecord.Submitted -> before.withSubmission(record.content)
+            is JobRecord.Items -> before.withItems(record.content)
             is JobRecord.Finished -> before.withResult(record.result)
             is JobRecord.Text -> before.withText(record.key, record.text)
             is JobRecord.Ended -> before.copy(ended = true)
@@ -93,18 +104,31 @@
     /** Returns the table with [job] removed. */
     public fun without(job: JobId): JobTable = JobTable(jobs.remove(job))
 
-    /** Returns the table with the texts that [other] has for the same results. */
-    public fun withTextsOf(other: JobTable): JobTable {
-        val merged = jobs.mapValues { (id, view) -> other.jobs[id]?.let { view.withTextsOf(it) } ?: view }
+    /** Returns the table with the items and texts that [other] has for the same jobs and results. */
+    public fun withContentOf(other: JobTable): JobTable {
+        val merged = jobs.mapValues { (id, view) -> other.jobs[id]?.let { view.withContentOf(it) } ?: view }
         return JobTable(merged.toPersistentMap())
     }
 
-    private fun JobView.withTextsOf(other: JobView): JobView {
+    private fun JobView.withContentOf(other: JobView): JobView {
         val merged = results.mapIndexed { at, result ->
             val known = other.results.getOrNull(at)?.takeIf { it.item == result.item && it.textWriter == null }
             if (result.textWriter == null || known == null) result else known
         }
-        return copy(results = merged.toPersistentList())
+        val knownJob = other.job?.takeIf { it.loaded }
+        return copy(results = merged.toPersistentList()).let { if (knownJob == null) it else it.withItems(knownJob) }
+    }
+
+    private fun JobView.withSubmission(submitted: Job): JobView = when {
+        job != null -> this
+        submitted.loaded || content == null -> copy(job = submitted, content = null)
+        else -> copy(job = submitted.copy(items = content.items), content = null)
+    }
+
+    private fun JobView.withItems(whole: Job): JobView = when {
+        job == null -> if (content == null) copy(content = whole) else this
+        job.loaded || whole.items.size != job.itemCount -> this
+        else -> copy(job = job.copy(items = whole.items))
     }
 
     private fun JobView.withResult(result: ItemResult): JobView {
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/JobTableTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/JobTableTest.kt
@@ -28,6 +28,8 @@
 
 private val records: Arb<JobRecord> = Arb.choice(
     Arb.element(ids).map { JobRecord.Submitted(job(it)) },
+    Arb.element(ids).map { JobRecord.Submitted(job(it).copy(items = emptyList())) },
+    Arb.element(ids).map { JobRecord.Items(job(it)) },
     Arb.element(ids).map { JobRecord.Ended(it) },
     Arb.int(0 until ids.size * items.size * 3).map {
         val result = ItemResult(items[it % items.size], ItemState.COMPLETED, text = "run ${it / items.size}")
@@ -43,6 +45,13 @@
     },
 )
 
+private val JobRecord.isLarge: Boolean
+    get() = when (this) {
+        is JobRecord.Submitted -> content.items.isNotEmpty()
+        is JobRecord.Finished -> result.text.isNotEmpty()
+        else -> false
+    }
+
 class JobTableTest :
     DescribeSpec({
         fun fold(all: List<JobRecord>) = all.fold(JobTable(), JobTable::apply)
@@ -70,13 +79,16 @@
                     }
                 }
             }
-            it("have the same texts, whether these come before the results, after them, or from an earlier view") {
+            it(
+                "are whole, whether texts and items come before them, after them, or from an earlier view",
+            ) {
                 checkAll(Arb.list(records, 0..60)) { all ->
-                    val (texts, others) = all.partition { it is JobRecord.Text }
+                    val (texts, others) = all.partition { it is JobRecord.Text || it is JobRecord.Items }
                     val whole = fold(texts + others)
                     val results = whole.jobs.mapValues { it.value.results }.filterValues { it.isNotEmpty() }
-                    listOf(fold(others + texts), fold(others).withTextsOf(whole)).forEach { other ->
+                    listOf(fold(others + texts), fold(others).withContentOf(whole)).forEach { other ->
                         other.jobs.mapValues { it.value.results }.filterValues { it.isNotEmpty() } shouldBe results
+                        whole.jobs.values.mapNotNull { it.job }.forEach { other.jobs[it.id]?.job shouldBe it }
                     }
                 }
             }
@@ -110,6 +122,7 @@
                     val stored = JobRecordCodec.encode(record, writer = "w.1")
                     val decoded = stored.map { JobRecordCodec.decode(it.key, it.value)!! }
                     fold(decoded) shouldBe fold(listOf(record))
+                    stored.size shouldBe if (record.isLarge) 2 else 1
                     stored.map { it.key } shouldBe stored.map { it.key }.distinct()
                 }
             }
@@ -118,13 +131,14 @@
                 val keys = listOf("w.1", "w.2").flatMap { JobRecordCodec.encode(record, it) }.map { it.key }
                 keys.distinct().size shouldBe 4
             }
-            it("sorts texts after all other records, and those of an item after the key before them") {
-                val keys = listOf(JobRecord.Submitted(job(ids[0])), JobRecord.Ended(ids[0]))
-                    .flatMap { JobRecordCodec.encode(it, "w") }.map { it.key }
-                keys.forEach { it shouldBeLessThan JobRecordCodec.TEXT_PREFIX }
+            it("sorts items and texts after all other records, and each after the key before it") {
+                val (itemsKey, submission) = JobRecordCodec.encode(JobRecord.Submitted(job(ids[0])), "w").map { it.key }
                 val record = JobRecord.Finished(ids[0], ItemResult(items[1], ItemState.COMPLETED, "x"))
                 val (text, result) = JobRecordCodec.encode(record, "w").map { it.key }
-                result shouldBeLessThan JobRecordCodec.TEXT_PREFIX
+                val end = JobRecordCodec.encode(JobRecord.Ended(ids[0]), "w").single().key
+                listOf(submission, result, end).forEach { it shouldBeLessThan JobRecordCodec.CONTENT_KEYS }
+                listOf(itemsKey, text).forEach { it shouldBeGreaterThan JobRecordCodec.CONTENT_KEYS }
+                itemsKey shouldBeGreaterThan JobRecordCodec.itemsPrefix(ids[0])
                 text shouldBeGreaterThan JobRecordCodec.beforeTexts(ids[0], items[1])
                 text shouldBeLessThan JobRecordCodec.beforeTexts(ids[0], items[2])
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
@@ -94,7 +94,7 @@
             val job = view.job
             val route = job?.let { catalog.route(it.host, it.path) }
             val served = route?.services.orEmpty().any { it.service == service }
-            if (job != null && served) job.items.size - view.results.size else 0
+            if (job != null && served) job.itemCount - view.results.size else 0
         }.toDouble()
 
     private fun fleetAt(key: FleetKey, spending: ServiceSpending, engines: List<Replica>, grows: Boolean) =
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -69,7 +69,11 @@
     private suspend fun itemBody(operation: CallerCall.ItemBody, customer: CatalogCustomer?): Reply {
         val found = board.find(operation.job).of(customer)
         if (found !is LookupResult.Found) return missing(found)
-        val item = found.value.job?.items?.find { it.id == operation.item } ?: return missing(LookupResult.Absent)
+        val job = when (val lookup = board.findWithItems(operation.job)) {
+            is LookupResult.Found -> lookup.value
+            else -> return missing(lookup)
+        }
+        val item = job.items.find { it.id == operation.item } ?: return missing(LookupResult.Absent)
         val bytes = Base64.getDecoder().decode(item.body)
         return Reply.content(OK, "body", bytes, ContentType.Application.OctetStream.toString())
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.job
 
 import dev.vanillarun.core.job.ItemResult
+import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobId
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobRecordCodec
@@ -46,8 +47,9 @@
 /**
  * View of the jobs topic: all jobs of the fleet and their results. [pace] is how often the store is read.
  *
- * A new view has no texts, since they are most of the bytes of the topic and no instance lists more than a part of
- * them. The texts of a job are read when its results are first listed; later ones come with their results.
+ * A new view has neither items nor texts, since they are nearly all bytes of the topic and no instance needs more than
+ * a part of them. The items of a job are read when the first one is asked for, its texts when its results are first
+ * listed; those that are written later come with the submission and the results.
  */
 internal class JobBoard(
     private val log: TopicLog,
@@ -58,17 +60,17 @@
     private val current = MutableStateFlow(JobTable())
 
     /** Follows the jobs topic and feeds its records to this view. */
-    val follower = TopicFollower(log, Topic, this, clock, events, JobRecordCodec.TEXT_PREFIX, pace)
+    val follower = TopicFollower(log, Topic, this, clock, events, JobRecordCodec.CONTENT_KEYS, pace)
 
-    /** Held while texts are read, so that callers of the same job share the reads. */
-    private val textReads = Mutex()
+    /** Held while items or texts are read, so that callers of the same job share the reads. */
+    private val contentReads = Mutex()
 
     /** Current jobs; a new value after each batch of records. */
     val table: StateFlow<JobTable> = current.asStateFlow()
 
     override fun reset(records: List<StoredTopicRecord>) {
         val decoded = records.mapNotNull(::decode)
-        current.update { before -> decoded.fold(JobTable(), JobTable::apply).withTextsOf(before) }
+        current.update { before -> decoded.fold(JobTable(), JobTable::apply).withContentOf(before) }
     }
 
     override fun accept(records: List<StoredTopicRecord>) {
@@ -92,6 +94,34 @@
         return if (caughtUp) LookupResult.Absent else LookupResult.Unknown
     }
 
+    /** Finds [id] with its items, which may take a read of the store. */
+    suspend fun findWithItems(id: JobId): LookupResult<Job> {
+        val found = when (val lookup = find(id)) {
+            is LookupResult.Found -> lookup.value.job
+            else -> return if (lookup == LookupResult.Absent) LookupResult.Absent else LookupResult.Unknown
+        }
+        if (found?.loaded == false) {
+            withTimeoutOrNull(CONTENT_TIMEOUT) { contentReads.withLock { readItems(id) } }
+        }
+        return localJob(id)?.job?.takeIf { it.loaded }?.let { LookupResult.Found(it) } ?: LookupResult.Unknown
+    }
+
+    private suspend fun readItems(id: JobId) {
+        if (localJob(id)?.job?.loaded == true) return
+        val startedAt = clock.now()
+        val prefix = JobRecordCodec.itemsPrefix(id)
+        val read = log.newest(Topic, prefix, CONTENT_SILENCE)
+        if (read is TopicSnapshotResult.Page) accept(read.records.filter { it.key.startsWith(prefix) })
+        val loaded = localJob(id)?.job?.loaded == true
+        val end = if (read is TopicSnapshotResult.Page) "loaded: $loaded" else "$read"
+        record("job.items_read", id, startedAt, mapOf("end" to end))
+    }
+
+    private fun record(name: String, id: JobId, startedAt: Instant, attributes: Map<String, String>) {
+        val elapsed = mapOf("elapsed_ms" to "${(clock.now() - startedAt).inWholeMilliseconds}")
+        events.record(name, EventLinks(request = id.value), attributes + elapsed)
+    }
+
     /** Returns the results of [id] from position [after] on; waits up to [wait] if there is none yet. */
     suspend fun results(id: JobId, after: Int, wait: Duration): LookupResult<ResultPage> {
         val found = when (val lookup = find(id)) {
@@ -108,7 +138,7 @@
     private suspend fun listed(id: JobId, view: JobView, after: Int): LookupResult<ResultPage> {
         val page = page(view, after)
         if (page.results.all { it.textWriter == null }) return LookupResult.Found(page)
-        val complete = withTimeoutOrNull(TEXT_TIMEOUT) { textReads.withLock { readTexts(id, after) } } ?: false
+        val complete = withTimeoutOrNull(CONTENT_TIMEOUT) { contentReads.withLock { readTexts(id, after) } } ?: false
         val loaded = if (complete) localJob(id)?.let { page(it, after) } else null
         return if (loaded == null) LookupResult.Unknown else LookupResult.Found(loaded)
     }
@@ -122,7 +152,7 @@
             val missing = localJob(id)?.results.orEmpty().drop(after).filter { it.textWriter != null }
             if (missing.isEmpty()) break
             val start = maxOf(from.orEmpty(), JobRecordCodec.beforeTexts(id, missing.minBy { it.item.value }.item))
-            val read = log.newest(Topic, start, TEXT_SILENCE)
+            val read = log.newest(Topic, start, CONTENT_SILENCE)
             if (read !is TopicSnapshotResult.Page) return recordTexts(id, pages, missing.size, startedAt, "$read")
             pages++
             val prefix = JobRecordCodec.textPrefix(id)
@@ -137,13 +167,7 @@
         localJob(id)?.results.orEmpty().drop(after).count { it.textWriter != null }
 
     private fun recordTexts(id: JobId, pages: Int, missing: Int, startedAt: Instant, end: String): Boolean {
-        val attributes = mapOf(
-            "pages" to "$pages",
-            "missing" to "$missing",
-            "end" to end,
-            "elapsed_ms" to "${(clock.now() - startedAt).inWholeMilliseconds}",
-        )
-        events.record("job.texts_read", EventLinks(request = id.value), attributes)
+        record("job.texts_read", id, startedAt, mapOf("pages" to "$pages", "missing" to "$missing", "end" to end))
         return missing == 0
     }
 
@@ -166,7 +190,7 @@
             if (results.isNotEmpty() && bytes > MAX_PAGE_BYTES) break
             results += result
         }
-        val total = view.job?.items?.size ?: 0
+        val total = view.job?.itemCount ?: 0
         return ResultPage(total, after + results.size, results)
     }
 
@@ -183,11 +207,11 @@
         /** Timeout for catching up with the store when a job is not in the local view. */
         private val LOOKUP_TIMEOUT = 600.milliseconds
 
-        /** Time after which a caller that lists results is told to come back; the texts read so far are kept. */
-        private val TEXT_TIMEOUT = 2500.milliseconds
+        /** Time after which a caller is told to come back; the texts read so far are kept. */
+        private val CONTENT_TIMEOUT = 2500.milliseconds
 
-        /** Silence of the store after which a read of texts fails. */
-        private val TEXT_SILENCE = 1500.milliseconds
+        /** Silence of the store after which a read of items or texts fails. */
+        private val CONTENT_SILENCE = 1500.milliseconds
 
         /** Maximum age of a view that may report no further results; a result may take 1 s to become visible. */
         private val MAX_CURRENT_AGE = 900.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -29,6 +29,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -80,10 +81,12 @@
     private val progress = HashMap<ItemId, ItemProgress>()
     private val concluded = HashSet<RunKey>()
     private val groups = HashMap<JobId, Map<String, Int>>()
+    private val loading = HashSet<JobId>()
 
     /** Runs until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = withContext(confined) {
         running.clear() // left by a run that failed
+        loading.clear()
         launch { inputs.board.table.collect { wake.trySend(Unit) } }
         launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
         launch { inputs.placement.loadCount.collect { wake.trySend(Unit) } }
@@ -118,12 +121,25 @@
         val open = inputs.board.table.value.jobs.values.filter { it.open }
         cancelClosed(open)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
-        dispatchWaiting(scope, mine)
+        val (loaded, others) = mine.partition { it.job?.loaded == true }
+        others.forEach { loadItems(scope, it) }
+        dispatchWaiting(scope, loaded)
         if (accepting) moveFromSlowEngines()
         inProgress = running.size
         isBusy = mine.isNotEmpty() || running.isNotEmpty()
     }
 
+    /** Reads the items of a job that was submitted before this instance started; [run] is woken once they are there. */
+    private fun loadItems(scope: CoroutineScope, view: JobView) {
+        val id = view.job?.id ?: return
+        if (!loading.add(id)) return
+        scope.launch {
+            val read = inputs.board.findWithItems(id)
+            if (read !is LookupResult.Found) delay(LOAD_RETRY_INTERVAL)
+            loading.remove(id)
+        }
+    }
+
     private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
         val waiting = mine.flatMap(::waiting).sortedWith(ItemOrder)
         waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
@@ -315,6 +331,9 @@
         /** Delay after an unexpected error of a run, which most probably comes again. */
         val FAILURE_BACKOFF = 2.seconds
 
+        /** Delay before the items of a job are read again after a failed read. */
+        val LOAD_RETRY_INTERVAL = 200.milliseconds
+
         /** Minimum run time before the speed of a run is comparable. */
         val MIN_RUN_TIME_BEFORE_MOVE = 700.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
@@ -22,7 +22,7 @@
 }
 
 /**
- * Reads the newest record of each key of [topic], one page at a time, up to the first key that begins with [endPrefix].
+ * Reads the newest record of each key of [topic] that sorts before [endKey], one page at a time.
  *
  * When many instances start at once, a page waits in the store until the pages of the others are sent. A page that
  * failed is therefore the only one to be read again, and each failure doubles the time that the next read may stay
@@ -31,7 +31,7 @@
 internal class SnapshotReader(
     private val log: TopicLog,
     private val topic: TopicName,
-    private val endPrefix: String? = null,
+    private val endKey: String? = null,
 ) {
     private val records = mutableListOf<StoredTopicRecord>()
     private var end: Offset? = null
@@ -61,7 +61,7 @@
 
     private fun accept(page: TopicSnapshotResult.Page): SnapshotStep {
         val firstEnd = end ?: page.end.also { end = it }
-        val wanted = page.records.filterNot { endPrefix != null && it.key.startsWith(endPrefix) }
+        val wanted = page.records.filter { endKey == null || it.key < endKey }
         // Records that were appended after the first page are left to the reads that follow the topic.
         records += wanted.filter { it.offset < firstEnd }
         after = page.continueAfter
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -66,8 +66,8 @@
  *
  * A keyed topic starts with the newest record of each key, and starts over when the next offset is no longer retained;
  * an unkeyed topic skips to the first retained offset. [pace] is asked before each read. A view that must be fresher
- * than the long poll makes it is confirmed on demand, see [confirm]. The start leaves out the keys that begin with
- * [deferredPrefix], which have to be the last ones of the topic.
+ * than the long poll makes it is confirmed on demand, see [confirm]. The start leaves out the keys from
+ * [snapshotEnd] on.
  */
 internal class TopicFollower(
     private val log: TopicLog,
@@ -75,7 +75,7 @@
     private val sink: TopicSink,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
-    private val deferredPrefix: String? = null,
+    private val snapshotEnd: String? = null,
     private val pace: () -> ReadPace = { ReadPace() },
 ) {
     private val current = MutableStateFlow(FollowerState())
@@ -108,7 +108,7 @@
 
     private enum class ReadOutcome { CAUGHT_UP, BEHIND, EXPIRED, FAILED }
 
-    private fun newSnapshot() = SnapshotReader(log, topic, deferredPrefix)
+    private fun newSnapshot() = SnapshotReader(log, topic, snapshotEnd)
 
     private suspend fun readSnapshot(snapshot: SnapshotReader, sentAt: Instant, failures: Int): ReadOutcome {
         val after = snapshot.after
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
@@ -142,6 +142,20 @@
                     board.table.value.jobs.getValue(other.id).results.single().text shouldBe ""
                 }
             }
+            it("reads the items of a job when they are asked for, and has their number at once") {
+                val log = FakeTopicLog()
+                log.write(JobRecord.Submitted(job))
+                following(log) { board ->
+                    board.follower.state.first { it.ready }
+                    board.table.value.jobs.getValue(id).job shouldBe job.copy(items = emptyList())
+                    board.results(id, after = 0, wait = Duration.ZERO)
+                        .shouldBeInstanceOf<LookupResult.Found<ResultPage>>().value.total shouldBe 3
+                    log.up = false
+                    board.findWithItems(id) shouldBe LookupResult.Unknown
+                    log.up = true
+                    board.findWithItems(id) shouldBe LookupResult.Found(job)
+                }
+            }
             it("does not list a result without its text while the store is unavailable") {
                 val log = FakeTopicLog()
                 log.write(JobRecord.Submitted(job))
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobRecordsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobRecordsTest.kt
@@ -39,14 +39,14 @@
                     )
                 }
                 val record = JobRecord.Submitted(Job(JobId("large"), null, "host.example", "/route/", 1, items = items))
-                val stored = JobRecords.encode(record, writer = "w.1").single()
+                val stored = JobRecords.encode(record, writer = "w.1").first()
                 stored.value.shouldNotBeNull().size shouldBeLessThan MAX_RECORD_BYTES
-                JobRecords.decode(stored.key, stored.value) shouldBe record
+                JobRecords.decode(stored.key, stored.value) shouldBe JobRecord.Items(record.content)
                 JobRecords.decode(stored.key, stored.value?.copyOf(1000)) shouldBe null
             }
             it("is uncompressed JSON if it is small") {
                 val record = JobRecord.Submitted(Job(JobId("small"), null, "host.example", "/route/", 1))
-                val stored = JobRecords.encode(record, writer = "w.1").single()
+                val stored = JobRecords.encode(record, writer = "w.1").first()
                 stored.value.shouldNotBeNull().decodeToString().first() shouldBe '{'
                 JobRecords.decode(stored.key, stored.value) shouldBe record
                 JobRecords.decode(stored.key, null) shouldBe null
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
@@ -59,7 +59,7 @@
             }
             it("ends before the first key that is left out") {
                 val store = log("a", "b", "c", "z/1", "z/2", "z/3")
-                val reader = SnapshotReader(store, topic, endPrefix = "z/")
+                val reader = SnapshotReader(store, topic, endKey = "z/")
                 reader.next() shouldBe SnapshotStep.Partial
                 val page = reader.next().shouldBeInstanceOf<SnapshotStep.Complete>().page
                 page.records.map { it.key } shouldContainExactly listOf("a", "b", "c")
