--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
@@ -152,6 +152,7 @@
     /** Leaves [group], so that the slots of [member] are reassigned. */
     public suspend fun leave(group: String, member: String)
 
+    /** Defaults of the reads. */
     public companion object {
         /** Silence that a read bears unless its caller knows better; a connection may have gone silent for good. */
         public val DEFAULT_SILENCE: Duration = 700.milliseconds
