Reset a connection from any thread without an exception

Callers got a 500 with the body "java.net.SocketException: Socket is closed" where the target had reset its connection. Calls to the store and to the control interface threw the same exception, which ends the component that made them until its next start, and delays an item by two seconds.

Cause: Channel.reset() checked isOpen and then set SO_LINGER. It runs in the thread of the exchange, while the event loop may close the channel in between; setting the option of a closed socket throws a ChannelException. It was thrown from the finally of the exchange, so the result was lost and no other target was tried.

Change: reset() ignores the exception of the option, since a closed connection needs no reset.

NettyTargetClientTest, 1000 resets: red before (the first within 0.06 s), green after.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelException
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.nio.NioEventLoopGroup
@@ -121,10 +122,12 @@
     }
 }
 
-/** Closes the connection with a TCP reset, which discards data that was not yet delivered. */
+/** Closes the connection with a TCP reset, which discards data that was not yet delivered. Any thread may call it. */
 internal fun Channel.reset() {
-    if (isOpen) {
-        config().setOption(ChannelOption.SO_LINGER, 0)
-        close()
+    try {
+        if (isOpen) config().setOption(ChannelOption.SO_LINGER, 0)
+    } catch (_: ChannelException) {
+        // The event loop has closed the connection meanwhile.
     }
+    close()
 }
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -60,6 +60,9 @@
     }
 }
 
+/** Enough for a reset to meet each step of an exchange. */
+private const val RESETS = 1000
+
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 private suspend fun NettyTargetClient.get(url: String): ExchangeResult<Pair<String, Boolean>> =
@@ -153,6 +156,15 @@
                     }) { client, server -> client.get(server.url) shouldBe ExchangeResult.Answered("abc" to false) }
                 }
             }
+            // An exchange failed with an exception if the connection was closed just before it was reset.
+            it("cut by a reset of its connection breaks the exchange and throws nothing") {
+                with({
+                    setSoLinger(true, 0)
+                    close()
+                }) { client, server ->
+                    repeat(RESETS) { client.get(server.url).shouldBeInstanceOf<ExchangeResult.Broken>() }
+                }
+            }
             it("that is not HTTP, or is missing, breaks the exchange") {
                 with({ send("garbage garbage garbage\r\n\r\n") }) { client, server ->
                     val exchange = client.get(server.url)
