Report a connection that is closed just before the send as not sent

A request failed with a NullPointerException, a 500 to its caller, if its pooled or new connection was closed between its selection and the send. For calls to the store the exception ended the component that made them.

Cause: Netty removes the handlers of a closed channel, and NettyExchange.send took the handler for granted.

Change: send returns false if the handler is gone. Nothing was written then, so the exchange ends as NotSent, and the request may go to another target even if it must run once only.

NettyTargetClientTest, "that is closed before a request is sent gets no request": red before with the exception, green after.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -54,12 +54,19 @@
     /** True if the request was written and the response read completely, and both sides keep the connection open. */
     val isReusable: Boolean get() = finished && consumed && keepAlive && written?.isSuccess == true && channel.isActive
 
-    /** Sends [request] and routes what the channel receives to this exchange. */
-    fun send(request: FullHttpRequest) {
-        channel.pipeline().get(ExchangeHandler::class.java).current = this
+    /**
+     * Sends [request] and routes what the channel receives to this exchange; false if the channel was closed before, so
+     * that nothing is sent.
+     */
+    fun send(request: FullHttpRequest): Boolean {
+        // Netty removes the handlers of a closed channel.
+        val handler: ExchangeHandler? = channel.pipeline().get(ExchangeHandler::class.java)
+        handler ?: return false
+        handler.current = this
         channel.config().isAutoRead = true
         written = channel.writeAndFlush(request).addListener { sent -> sent.cause()?.let { fail(it.summary()) } }
         if (!channel.isActive) fail("the connection is closed")
+        return true
     }
 
     /** Waits for the status and headers of the response. */
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -60,7 +60,7 @@
         val exchange = NettyExchange(channel)
         var reusable = false
         try {
-            exchange.send(message(request, uri))
+            if (!exchange.send(message(request, uri))) return ExchangeResult.NotSent("the connection is closed")
             val head = when (val result = exchange.head()) {
                 is HeadReadResult.Received -> result
                 is HeadReadResult.Broken -> return ExchangeResult.Broken(result.reason)
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -7,6 +7,10 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -112,6 +116,13 @@
                         "reset"
                 }
             }
+            // An exchange threw a NullPointerException if its connection was closed just before the send.
+            it("that is closed before a request is sent gets no request") {
+                val channel = EmbeddedChannel(ExchangeHandler())
+                channel.close()
+                val exchange = NettyExchange(channel)
+                exchange.send(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")) shouldBe false
+            }
             it("that carries more than its answer while it is idle is closed, and not used again") {
                 with({ send(OK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") }) { client, server ->
                     client.get(server.url) shouldBe ExchangeResult.Answered("ok" to true)
