Do not take a caller that reads slowly for a stalled target

Callers of a resumable stream that read slowly, or behind a slow link, could get part of an event and then the same event again, whole, from another target.

Cause: the stall limit of 1.5 s covered the writes to the caller as well. A write that waited longer was cancelled in the middle of its event, the target counted as failed, and the stream resumed after the last event whose write had returned.

Change: a write to the caller does not count as a stall. A write that is cut short for another reason, for instance by the deadline, ends the stream as incomplete: nothing may follow a part of a head or of an event.

StreamForwarderTest, "a stream whose caller reads slowly": the first case red before (event 2 begun twice), green after; the second documents the deadline and was green before.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -75,6 +75,9 @@
         private val triedIds = mutableSetOf<TargetId>()
         private var lastId = request.resumeAfter ?: 0
         private var opened = false
+
+        /** True while a head or an event is sent to the caller; stays true if that was cut short. */
+        private var sending = false
         private var complete = false
         private var mayHaveRun = 0
         private var refusals = 0
@@ -126,7 +129,7 @@
 
                 is Outcome.Interrupted -> {
                     mayHaveRun++
-                    resumable
+                    resumable && !sending
                 }
             }
         }
@@ -169,18 +172,27 @@
                 return Outcome.NonStream(LiveOutcome.Complete(status, headers, body, answer.head.signature))
             }
             if (answer.head.signature == null) return Outcome.Interrupted("an answer without a signature")
-            if (!opened) sink.open(status, HeaderRules.towardsCaller(answer.headers))
-            opened = true
+            if (!opened) {
+                opened = true
+                send(activity) { sink.open(status, HeaderRules.towardsCaller(answer.headers)) }
+            }
             return events(answer, activity, replica)
         }
 
+        /** Writes to the caller; a caller that reads slowly is no stall of the target. */
+        private suspend fun send(activity: Activity, write: suspend () -> Unit) {
+            sending = true
+            activity.exempt(write)
+            sending = false
+        }
+
         private suspend fun events(answer: OpenedResponse, activity: Activity, replica: Replica): Outcome {
             val splitter = EventSplitter()
             var part = answer.body.next()
             while (part is BodyPart.Bytes) {
                 val completed = splitter.feed(part.bytes)
                 if (completed.isNotEmpty()) activity.received()
-                completed.firstNotNullOfOrNull { forwardEvent(it, replica) }?.let { return it }
+                completed.firstNotNullOfOrNull { forwardEvent(it, activity, replica) }?.let { return it }
                 if (splitter.pending > MAX_EVENT_BYTES) return Outcome.Interrupted("an event is too long")
                 part = answer.body.next()
             }
@@ -189,14 +201,14 @@
         }
 
         /** Forwards [bytes] if it is the next event; otherwise returns why the attempt ends. */
-        private suspend fun forwardEvent(bytes: ByteArray, replica: Replica): Outcome? {
+        private suspend fun forwardEvent(bytes: ByteArray, activity: Activity, replica: Replica): Outcome? {
             val event = dialect.event(bytes.decodeToString()) ?: return Outcome.Interrupted("an event cannot be read")
             if (event.number != lastId + 1) return Outcome.Interrupted("event ${event.number} came after $lastId")
             val now = clock.now()
             request.markRunning(now)
             lastEventAt?.let { tracker.latencyObserved(replica, now - it) }
             lastEventAt = now
-            sink.event(bytes)
+            send(activity) { sink.event(bytes) }
             lastId = event.number
             return null
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/Activity.kt
@@ -18,20 +18,36 @@
     var last: Instant = clock.now()
         private set
 
+    /** True while [exempt] runs. */
+    @Volatile
+    var isExempt: Boolean = false
+        private set
+
     /** Resets the stall timeout. */
     fun received() {
         last = clock.now()
     }
+
+    /** Runs [block], during which the exchange does not stall: it waits for someone other than the target. */
+    suspend fun exempt(block: suspend () -> Unit) {
+        isExempt = true
+        try {
+            block()
+        } finally {
+            received()
+            isExempt = false
+        }
+    }
 }
 
-/** Runs [block]; cancels it and returns null once [Activity.received] was not called for [limit]. */
+/** Runs [block]; cancels it and returns null once [Activity.received] was not called for [limit], unless exempt. */
 internal suspend fun <T> withStallLimit(limit: Duration, clock: MonotonicClock, block: suspend (Activity) -> T): T? =
     coroutineScope {
         val activity = Activity(clock)
         val work = async { block(activity) }
         val watch = launch {
             while (true) {
-                val left = activity.last + limit - clock.now()
+                val left = if (activity.isExempt) limit else activity.last + limit - clock.now()
                 if (left <= Duration.ZERO) work.cancel() else delay(left)
                 if (left <= Duration.ZERO) break
             }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -12,6 +12,7 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,6 +31,18 @@
     }
 }
 
+/** Caller that takes [pause] to read the event [number]; [begun] has each event whose sending began. */
+private class SlowReader(private val number: Int, private val pause: Duration) : StreamSink {
+    val begun = mutableListOf<String>()
+
+    override suspend fun open(status: Int, headers: Headers) = Unit
+
+    override suspend fun event(bytes: ByteArray) {
+        begun += bytes.decodeToString().trim()
+        if (begun.size == number) delay(pause)
+    }
+}
+
 private fun stream(
     resumable: Boolean,
     within: Duration = 5.seconds,
@@ -123,6 +136,28 @@
             }
         }
 
+        // An event of which a part was sent came again, whole, from the next target.
+        describe("a stream whose caller reads slowly") {
+            it("is not taken for stalled, and no event is begun twice") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.EventStream())
+                    val reader = SlowReader(number = 2, pause = 2.seconds)
+                    streams.serve(stream(resumable = true), reader) shouldBe LiveOutcome.Streamed(5, true, "whole")
+                    reader.begun shouldBe whole
+                    targets.requestedAddresses shouldHaveSize 1
+                }
+            }
+            it("ends as incomplete, with no other answer, if its deadline passes within an event") {
+                withTargets(2) {
+                    targets.all(2, Behaviour.EventStream())
+                    val reader = SlowReader(number = 2, pause = 5.seconds)
+                    streams.serve(stream(resumable = true, within = 100.milliseconds), reader)
+                        .shouldBeInstanceOf<LiveOutcome.Streamed>().complete shouldBe false
+                    reader.begun shouldBe whole.take(2)
+                }
+            }
+        }
+
         describe("a stream that may be resumed") {
             it("goes on at another target after the last event, under the head of the first") {
                 withTargets(2) {
