--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -7,6 +7,10 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -60,6 +64,9 @@
     }
 }
 
+/** Enough for a reset to meet each step of an exchange. */
+private const val RESETS = 1000
+
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 private suspend fun NettyTargetClient.get(url: String): ExchangeResult<Pair<String, Boolean>> =
@@ -109,6 +116,13 @@
                         "reset"
                 }
             }
+            // An exchange threw a NullPointerException if its connection was closed just before the send.
+            it("that is closed before a request is sent gets no request") {
+                val channel = EmbeddedChannel(ExchangeHandler())
+                channel.close()
+                val exchange = NettyExchange(channel)
+                exchange.send(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")) shouldBe false
+            }
             it("that carries more than its answer while it is idle is closed, and not used again") {
                 with({ send(OK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray") }) { client, server ->
                     client.get(server.url) shouldBe ExchangeResult.Answered("ok" to true)
@@ -153,6 +167,15 @@
                     }) { client, server -> client.get(server.url) shouldBe ExchangeResult.Answered("abc" to false) }
                 }
             }
+            // An exchange failed with an exception if the connection was closed just before it was reset.
+            it("cut by a reset of its connection breaks the exchange and throws nothing") {
+                with({
+                    setSoLinger(true, 0)
+                    close()
+                }) { client, server ->
+                    repeat(RESETS) { client.get(server.url).shouldBeInstanceOf<ExchangeResult.Broken>() }
+                }
+            }
             it("that is not HTTP, or is missing, breaks the exchange") {
                 with({ send("garbage garbage garbage\r\n\r\n") }) { client, server ->
                     val exchange = client.get(server.url)
