Record why items are at no engine, and the first run after a slot is granted

Cause: nothing told an item that waits for a back-off from one that was concluded and never listed, has no route, or finds every engine backed off or full; nor how long a slot stays without a run between two owners. Change: item.unplaced names idle time and reason of the open items of this instance that have been at no engine for a second: one report a second of at most 20 items, the longest waits first, whatever the number of items or engines. slots.left names the slots, slot.first_run (one for each slot granted) the time from the grant to the first run. The state of items moves from JobRunner to ItemTable, unchanged. The dispatcher of JobRunner can be given, for tests. Measured: the tests of vanillarun-hosted pass; the events were not yet seen in a run.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -9,30 +9,53 @@
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.target.TargetTracker
 
+/** Result of [EngineSelector.choose]. */
+internal sealed interface EngineChoice {
+    /** The item should run at [engine]. */
+    data class Chosen(val engine: Replica) : EngineChoice
+
+    /** No engine can take the item now; [description] is for events. */
+    enum class None(val description: String) : EngineChoice {
+        NOT_LISTED("no engine is listed"),
+        NO_WEIGHTS("no engine has the weights"),
+        BACKED_OFF("all engines with the weights are backed off"),
+        FULL("all engines are full"),
+    }
+}
+
 /** Selects engines for samples. An engine with failures gets one run at a time until it responds again. */
 internal class EngineSelector(
     private val replicas: ReplicaSource,
     private val tracker: TargetTracker,
     private val placement: PlacementBoard,
 ) {
-    /** Returns the engine for [task], or null if all are full; [running] is the number of runs at each engine. */
-    fun choose(task: SampleTask, running: Map<TargetId, Int>): Replica? {
-        val engines = enginesFor(task)
-        val chosen = chooseEngine(engines.map { load(it, task, running) }) ?: return null
-        return engines.first { it.id == chosen.id }
+    /** Returns the engine for [task], or why there is none; [running] is the number of runs at each engine. */
+    fun choose(task: SampleTask, running: Map<TargetId, Int>): EngineChoice {
+        val listed = listed(task)
+        val capable = listed.filter { isCapable(it, task) }
+        val usable = capable.filter(tracker::usable)
+        val chosen = chooseEngine(usable.map { load(it, task, running) })
+        return when {
+            chosen != null -> EngineChoice.Chosen(usable.first { it.id == chosen.id })
+            listed.isEmpty() -> EngineChoice.None.NOT_LISTED
+            capable.isEmpty() -> EngineChoice.None.NO_WEIGHTS
+            usable.isEmpty() -> EngineChoice.None.BACKED_OFF
+            else -> EngineChoice.None.FULL
+        }
     }
 
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
     fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, Int>): TargetId? {
-        val loads = enginesFor(task).map { load(it, task, running) }
+        val engines = listed(task).filter { isCapable(it, task) && tracker.usable(it) }
+        val loads = engines.map { load(it, task, running) }
         return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
     }
 
-    private fun enginesFor(task: SampleTask): List<Replica> {
+    private fun listed(task: SampleTask): List<Replica> = task.route.services.flatMap { replicas.of(it.service) }
+
+    private fun isCapable(engine: Replica, task: SampleTask): Boolean {
         val model = task.job.model
-        return task.route.services.flatMap { replicas.of(it.service) }
-            .filter { model.isEmpty() || tracker.weights(it, model) >= task.job.minVersion }
-            .filter(tracker::usable)
+        return model.isEmpty() || tracker.weights(engine, model) >= task.job.minVersion
     }
 
     private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
@@ -18,23 +18,27 @@
     val moves: Int = 0,
     /** Consecutive interrupted runs that added no event. */
     val runsWithoutProgress: Int = 0,
+    /** Time since which the item has been at no engine, as far as this instance knows; null before it was first due. */
+    val idleSince: Instant? = null,
 ) {
     /** Drops the transcript if one of its weight versions is below the minimum that [task] allows. */
     fun validFor(task: SampleTask): ItemProgress {
         val allowed = transcript.versions.all { it >= task.job.minVersion }
-        return if (allowed) this else ItemProgress(failures = failures, notBefore = notBefore)
+        return if (allowed) this else restarted()
     }
 
     /** Returns the progress after a run that ended with [end] at [now]. */
     fun afterRun(end: RunOutcome, now: Instant): ItemProgress = when (end) {
-        is RunOutcome.Complete -> copy(transcript = end.transcript, complete = true)
-        is RunOutcome.Interrupted -> interrupted(end.transcript, now)
-        is RunOutcome.Incompatible -> ItemProgress(failures = failures, notBefore = now + RESUME_BACKOFF)
-        RunOutcome.Failed -> copy(failures = failures + 1, notBefore = now + RESUME_BACKOFF)
-        RunOutcome.Unprocessable -> this
+        is RunOutcome.Complete -> copy(transcript = end.transcript, complete = true, idleSince = now)
+        is RunOutcome.Interrupted -> interrupted(end.transcript, now).copy(idleSince = now)
+        is RunOutcome.Incompatible -> restarted().copy(notBefore = now + RESUME_BACKOFF, idleSince = now)
+        RunOutcome.Failed -> copy(failures = failures + 1, notBefore = now + RESUME_BACKOFF, idleSince = now)
+        RunOutcome.Unprocessable -> copy(idleSince = now)
         is RunOutcome.NotRun -> copy(notBefore = now + REJECTION_BACKOFF)
     }
 
+    private fun restarted() = ItemProgress(failures = failures, notBefore = notBefore, idleSince = idleSince)
+
     /** Doubles the backoff for each run without progress, since the item itself may crash the engines. */
     private fun interrupted(received: Transcript, now: Instant): ItemProgress {
         val hasProgressed = received.lastEventNumber > transcript.lastEventNumber
@@ -44,7 +48,7 @@
     }
 
     /** Returns the progress after the run was cancelled at [now] to resume at another engine. */
-    fun moved(now: Instant): ItemProgress = copy(moves = moves + 1, notBefore = now + RESUME_BACKOFF)
+    fun moved(now: Instant): ItemProgress = copy(moves = moves + 1, notBefore = now + RESUME_BACKOFF, idleSince = now)
 
     private companion object {
         /** Delay before an item resumes elsewhere, so that the previous engine sees its connection close. */
--- /dev/null
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -0,0 +1,93 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.job.groupRanks
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import kotlin.time.Duration
+
+/** Key of an item in one job; the same item may return in a later job. */
+internal data class RunKey(val job: JobId, val item: ItemId)
+
+/** Work on an item: a run at [engine], or the scoring and recording of its result if that is null. */
+internal class ActiveRun(
+    val work: kotlinx.coroutines.Job,
+    val engine: TargetId?,
+    val task: SampleTask,
+    val since: Instant,
+)
+
+/** Runs, conclusions and progress of the items of this instance; confined to the thread of the [JobRunner]. */
+internal class ItemTable(private val clock: MonotonicClock) {
+    /** Work in progress. */
+    val running = HashMap<RunKey, ActiveRun>()
+
+    /** Progress by item. */
+    val progress = HashMap<ItemId, ItemProgress>()
+
+    /** Items whose result was recorded but is not listed yet. */
+    val concluded = HashSet<RunKey>()
+    private val groups = HashMap<JobId, Map<String, Int>>()
+
+    /** Number of runs at each engine; engines without any are absent. */
+    fun runs(): Map<TargetId, Int> = running.values.mapNotNull { it.engine }.groupingBy { it }.eachCount()
+
+    /** Cancels runs whose item has a result. Runs survive the loss of their slot: a new owner starts from scratch. */
+    fun cancelClosed(views: List<JobView>) {
+        val open = views.associateBy { it.job?.id }
+        running.filterKeys { key -> open[key.job]?.positions?.containsKey(key.item) != false }.forEach { (key, run) ->
+            run.work.cancel()
+            running.remove(key)
+        }
+        concluded.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
+        groups.keys.retainAll { it in open }
+        if (progress.size > MAX_TRACKED_ITEMS) progress.clear()
+    }
+
+    /** Items of [view], a job on [route], that may be sent to an engine now. */
+    fun waiting(view: JobView, route: CatalogRoute): List<WaitingItem> {
+        val job = view.job ?: return emptyList()
+        val ranks = groups.getOrPut(job.id) { groupRanks(job, returnedGroups(job)) }
+        val objective = route.jobObjective ?: route.timeout
+        val now = clock.now()
+        return job.items.filter { item ->
+            val key = RunKey(job.id, item.id)
+            val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
+            due && item.id !in view.positions && key !in running && key !in concluded
+        }.map { item ->
+            WaitingItem(
+                job = job.id,
+                item = item,
+                dueAt = job.submittedAt + objective.inWholeMilliseconds,
+                priority = route.priority,
+                begun = progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false,
+                groupRank = ranks[item.group] ?: 0,
+            )
+        }
+    }
+
+    private fun returnedGroups(job: Job): Set<String> =
+        job.items.filter { it.id in progress }.mapTo(HashSet()) { it.group }
+
+    /** Why [key] is not due, for events; null if it waits for an engine only. */
+    fun reasonNotDue(key: RunKey): String? {
+        val backoff = progress[key.item]?.notBefore?.let { it - clock.now() } ?: Duration.ZERO
+        return when {
+            key in running -> "being scored or recorded"
+            key in concluded -> "recorded but not listed yet"
+            backoff > Duration.ZERO -> "backed off for ${backoff.inWholeMilliseconds} ms"
+            else -> null
+        }
+    }
+
+    private companion object {
+        /** Items whose progress is kept for later jobs: about a minute of work of the whole fleet. */
+        const val MAX_TRACKED_ITEMS = 8192
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -3,18 +3,15 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
-import dev.vanillarun.core.job.ItemId
 import dev.vanillarun.core.job.ItemOrder
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.ItemState
 import dev.vanillarun.core.job.Job
-import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
-import dev.vanillarun.core.job.groupRanks
-import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -61,25 +58,18 @@
     private val clock: MonotonicClock,
     private val wallClock: () -> Long,
     private val events: EventRecorder,
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
 ) {
-    private data class RunKey(val job: JobId, val item: ItemId)
-
     private enum class Conclusion { SCORE, ABORT }
 
-    private class ActiveRun(
-        val work: kotlinx.coroutines.Job,
-        val engine: TargetId?,
-        val task: SampleTask,
-        val since: Instant,
-    )
-
     private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement)
-    private val confined: CoroutineDispatcher = Dispatchers.Default.limitedParallelism(1)
+    private val unplaced = UnplacedItems(clock, events)
+    private val takeover = SlotTakeover(clock, events)
+    private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val running = HashMap<RunKey, ActiveRun>()
-    private val progress = HashMap<ItemId, ItemProgress>()
-    private val concluded = HashSet<RunKey>()
-    private val groups = HashMap<JobId, Map<String, Int>>()
+    private val items = ItemTable(clock)
+    private val running = items.running
+    private val progress = items.progress
 
     /** Runs until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = withContext(confined) {
@@ -116,69 +106,54 @@
 
     private fun schedule(scope: CoroutineScope) {
         val open = inputs.board.table.value.jobs.values.filter { it.open }
-        cancelClosed(open)
+        items.cancelClosed(open)
+        takeover.granted(inputs.slots.grant.value.slots)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
         dispatchWaiting(scope, mine)
         if (accepting) moveFromSlowEngines()
         inProgress = running.size
         isBusy = mine.isNotEmpty() || running.isNotEmpty()
+        unplaced.report { unplacedItems(open.filter(::isOwned)) }
     }
 
-    private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
-        val waiting = mine.flatMap(::waiting).sortedWith(ItemOrder)
-        waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
-    }
-
-    private fun isMine(view: JobView): Boolean {
-        val job = view.job ?: return false
-        return inputs.slots.owns(job.subject) && route(job) != null
+    private fun unplacedItems(owned: List<JobView>): List<UnplacedItems.Entry> = owned.flatMap { view ->
+        val job = view.job ?: return@flatMap emptyList()
+        val jobAge = (wallClock() - job.submittedAt).coerceAtLeast(0).milliseconds
+        job.items.filter { it.id !in view.positions && running[RunKey(job.id, it.id)]?.engine == null }.map { item ->
+            val idleSince = progress[item.id]?.idleSince ?: (clock.now() - jobAge)
+            UnplacedItems.Entry(RunKey(job.id, item.id), idleSince) { reasonUnplaced(job, item) }
+        }
     }
 
-    private fun route(job: Job): CatalogRoute? = inputs.catalog.catalog.value?.route(job.host, job.path)
-
-    /** Cancels runs whose item has a result. Runs survive the loss of their slot: a new owner starts from scratch. */
-    private fun cancelClosed(views: List<JobView>) {
-        val open = views.associateBy { it.job?.id }
-        running.filterKeys { key -> open[key.job]?.positions?.containsKey(key.item) != false }.forEach { (key, run) ->
-            run.work.cancel()
-            running.remove(key)
+    private fun reasonUnplaced(job: Job, item: JobItem): String {
+        val route = route(job) ?: return "no route"
+        items.reasonNotDue(RunKey(job.id, item.id))?.let { return it }
+        if (!accepting) return "this instance is stopping"
+        return when (val choice = engines.choose(SampleTask(job, item, route), items.runs())) {
+            is EngineChoice.Chosen -> "not dispatched yet"
+            is EngineChoice.None -> choice.description
         }
-        concluded.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
-        groups.keys.retainAll { it in open }
-        if (progress.size > MAX_TRACKED_ITEMS) progress.clear()
     }
 
-    private fun waiting(view: JobView): List<WaitingItem> {
-        val job = view.job ?: return emptyList()
-        val route = route(job) ?: return emptyList()
-        val ranks = groups.getOrPut(job.id) { groupRanks(job, returnedGroups(job)) }
-        val objective = route.jobObjective ?: route.timeout
-        val now = clock.now()
-        return job.items.filter { item ->
-            val key = RunKey(job.id, item.id)
-            val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
-            due && item.id !in view.positions && key !in running && key !in concluded
-        }.map { item ->
-            WaitingItem(
-                job = job.id,
-                item = item,
-                dueAt = job.submittedAt + objective.inWholeMilliseconds,
-                priority = route.priority,
-                begun = progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false,
-                groupRank = ranks[item.group] ?: 0,
-            )
-        }
+    private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
+        val waiting = mine.flatMap { view -> view.job?.let(::route)?.let { items.waiting(view, it) }.orEmpty() }
+            .sortedWith(ItemOrder)
+        waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
     }
 
-    private fun returnedGroups(job: Job): Set<String> =
-        job.items.filter { it.id in progress }.mapTo(HashSet()) { it.group }
+    private fun isMine(view: JobView): Boolean = isOwned(view) && view.job?.let(::route) != null
+
+    private fun isOwned(view: JobView): Boolean = view.job?.let { inputs.slots.owns(it.subject) } ?: false
+
+    private fun route(job: Job): CatalogRoute? = inputs.catalog.catalog.value?.route(job.host, job.path)
 
     private fun dispatch(scope: CoroutineScope, view: JobView, waiting: WaitingItem) {
         val job = view.job ?: return
         val route = route(job) ?: return
         val task = SampleTask(job, waiting.item, route)
         val key = RunKey(job.id, waiting.item.id)
-        val known = progress.getOrPut(waiting.item.id) { ItemProgress() }.validFor(task)
+        val before = progress[waiting.item.id] ?: ItemProgress()
+        val known = before.copy(idleSince = before.idleSince ?: clock.now()).validFor(task)
         progress[waiting.item.id] = known
         val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
         val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
@@ -187,8 +162,9 @@
             running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
-        val engine = engines.choose(task, runs()) ?: return
+        val engine = (engines.choose(task, items.runs()) as? EngineChoice.Chosen)?.engine ?: return
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
+        takeover.itemSent(inputs.slots.slotOf(job.subject))
         running[key] = ActiveRun(work, engine.id, task, clock.now())
     }
 
@@ -210,7 +186,7 @@
         val now = clock.now()
         running.filterValues { now - it.since >= MIN_RUN_TIME_BEFORE_MOVE }.forEach { (key, run) ->
             val known = progress[key.item]?.takeIf { it.moves < MAX_MOVES }
-            val destination = run.engine?.let { engines.findFaster(run.task, it, runs()) }
+            val destination = run.engine?.let { engines.findFaster(run.task, it, items.runs()) }
             if (known != null && destination != null) move(key, run, known, destination)
         }
     }
@@ -229,9 +205,6 @@
         )
     }
 
-    /** Number of runs at each engine; engines without any are absent. */
-    private fun runs(): Map<TargetId, Int> = running.values.mapNotNull { it.engine }.groupingBy { it }.eachCount()
-
     private suspend fun attempt(task: SampleTask, engine: Replica) {
         val key = RunKey(task.job.id, task.item.id)
         val before = progress.getValue(task.item.id)
@@ -282,7 +255,7 @@
             else -> record(task, ItemState.COMPLETED, (scored as? RewardResult.Scored)?.signature)
         }
         val key = RunKey(task.job.id, task.item.id)
-        concluded += key
+        items.concluded += key
         running.remove(key)
     }
 
@@ -320,9 +293,6 @@
 
         /** Maximum moves of an item; each move processes its prompt again. */
         const val MAX_MOVES = 1
-
-        /** Items whose progress is kept for later jobs: about a minute of work of the whole fleet. */
-        const val MAX_TRACKED_ITEMS = 8192
     }
 }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
@@ -4,7 +4,6 @@
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
-import dev.vanillarun.core.timeline.record
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -32,7 +31,10 @@
     val grant: StateFlow<SlotGrant> = granted.asStateFlow()
 
     /** True if the slot of [subject] is granted to this instance. */
-    fun owns(subject: String): Boolean = subject.hashCode().mod(log.slotCount) in granted.value.slots
+    fun owns(subject: String): Boolean = slotOf(subject) in granted.value.slots
+
+    /** The slot of [subject]. */
+    fun slotOf(subject: String): Int = subject.hashCode().mod(log.slotCount)
 
     /** Renews the membership until [leave] is called or the calling coroutine is cancelled. */
     suspend fun run() {
@@ -47,9 +49,10 @@
     /** Gives the slots up for good; [run] returns afterwards. */
     suspend fun leave(): Unit = mutex.withLock {
         hasLeft = true
+        val slots = granted.value.slots.sorted().joinToString(",")
         granted.value = SlotGrant(granted.value.generation, emptySet())
         log.leave(GROUP, member)
-        events.record("slots.left")
+        events.record("slots.left", EventLinks(), mapOf("slots" to slots))
     }
 
     private fun applyGrant(next: SlotGrant) {
