--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -0,0 +1,156 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.Catalog
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.id.Incarnation
+import dev.vanillarun.core.id.InstanceId
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
+import dev.vanillarun.core.job.JobRecord
+import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.job.RewardCall
+import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventId
+import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.hosted.catalog.CatalogCodec
+import dev.vanillarun.hosted.catalog.CatalogSource
+import dev.vanillarun.hosted.catalog.OperatorRecord
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.fake.Behaviour
+import dev.vanillarun.hosted.fake.FakeCodec
+import dev.vanillarun.hosted.fake.FakeTargets
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.live.CrashBoard
+import dev.vanillarun.hosted.live.LiveForwarder
+import dev.vanillarun.hosted.live.ReplicaChooser
+import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.TargetGateway
+import dev.vanillarun.hosted.target.TargetTracker
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** An event with the virtual time at which it was recorded. */
+internal class TimedEvent(val at: Duration, val name: String, val item: String?, val attributes: Map<String, String>)
+
+/**
+ * A [JobRunner] in virtual time with [engines] engines `e0:80`, `e1:80` and so on, of four slots each, and [scorers]
+ * targets `s0:80` and so on for reward calls. Announcements never change, so a restart of an engine goes unnoticed.
+ */
+internal class RunnerFixture(private val scope: TestScope, private val engines: Int, private val scorers: Int) {
+    val log = FakeTopicLog()
+    val targets = FakeTargets()
+    val recorded = mutableListOf<TimedEvent>()
+    private val clock = MonotonicClock { Instant(scope.currentTime.milliseconds.inWholeNanoseconds) }
+    private val events = EventRecorder { name, links, attributes ->
+        recorded += TimedEvent(now, name, links.sample, attributes)
+        EventId(InstanceId("i"), Incarnation("r"), recorded.size.toLong())
+    }
+    private val board = JobBoard(log, clock, events)
+
+    val now: Duration get() = scope.currentTime.milliseconds
+
+    suspend fun start() {
+        val background = scope.backgroundScope
+        setEngines(Behaviour.EventStream())
+        repeat(engines) { FakeCodec.announce(log, "e$it", "$ENGINES ready") }
+        repeat(scorers) { FakeCodec.announce(log, "s$it", "$SCORERS ready") }
+        log.put(FakeCodec.operatorTopic, TopicRecord("catalog", byteArrayOf()))
+        val catalog = CatalogSource(log, FixtureCodec, clock, events)
+        val replicas = ReplicaSource(log, FixtureCodec, clock, events)
+        val tracker = TargetTracker(clock)
+        val placement = PlacementBoard(log, tracker, clock, events)
+        val appender = DurableAppender(log, JobBoard.Topic, "jobs")
+        val crashAppender = DurableAppender(log, CrashBoard.Topic, "crashes")
+        val slots = SlotMembership(log, "i", events)
+        val gateway = TargetGateway(targets, targets, tracker)
+        val crashes = CrashBoard(log, crashAppender, background, clock, events)
+        val chooser = ReplicaChooser(replicas, tracker, gateway::isWarm, DataCentre("z"), clock)
+        val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
+        val runner = JobRunner(
+            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker),
+            samples = SampleRunner(gateway, targets, tracker, clock),
+            rewards = RewardCaller(catalog, live, clock, events),
+            appender = appender,
+            writer = "w",
+            clock = clock,
+            wallClock = { now.inWholeMilliseconds },
+            events = events,
+            dispatcher = StandardTestDispatcher(scope.testScheduler),
+        )
+        listOf(catalog.follower, replicas.follower, board.follower, placement.follower, crashes.follower)
+            .forEach { background.launch { it.run() } }
+        listOf(appender, crashAppender).forEach { background.launch { it.run() } }
+        background.launch { slots.run() }
+        replicas.replicas.first { it.size == engines + scorers }
+        catalog.catalog.first { it != null }
+        background.launch { runner.run() }
+    }
+
+    fun setEngines(behaviour: Behaviour) = repeat(engines) { targets.behaviours["e$it:80"] = behaviour }
+
+    fun setScorers(behaviour: Behaviour) = repeat(scorers) { targets.behaviours["s$it:80"] = behaviour }
+
+    fun submit(id: String, items: List<JobItem>, minVersion: Long = 0) {
+        val job = Job(JobId(id), null, HOST, "/gen/", now.inWholeMilliseconds, minVersion = minVersion, items = items)
+        log.put(JobBoard.Topic, JobRecords.encode(JobRecord.Submitted(job), "caller"))
+    }
+
+    suspend fun awaitJob(id: String, condition: (JobView) -> Boolean): JobView =
+        board.table.first { it.jobs[JobId(id)]?.let(condition) == true }.jobs.getValue(JobId(id))
+
+    /** Times from [since] on at which [item] was sent to an engine. */
+    fun sends(item: JobItem, since: Duration = Duration.ZERO): List<Duration> =
+        recorded.filter { it.name == "item.sent" && it.item == item.id.value && it.at >= since }.map { it.at }
+
+    private object FixtureCodec : CatalogCodec by FakeCodec {
+        override fun operatorRecord(key: String, value: ByteArray) = OperatorRecord.CatalogPublished(
+            Catalog(version = 1, routes = listOf(route(ENGINES, "/gen/"), route(SCORERS, "/score/"))),
+        )
+
+        private fun route(service: String, path: String) = CatalogRoute(
+            name = service,
+            host = HOST,
+            pathPrefix = path,
+            kind = if (service == ENGINES) RequestKind.ROLLOUT else RequestKind.IDEMPOTENT,
+            services = listOf(ServiceShare(service)),
+            timeout = 2.seconds,
+            objective = 1.seconds,
+            maxAttempts = 3,
+        )
+    }
+
+    companion object {
+        const val HOST = "host.example"
+        private const val ENGINES = "engines"
+        private const val SCORERS = "scorers"
+
+        /** Text of a complete [Behaviour.EventStream], whose five events have no data. */
+        const val WHOLE_TEXT = "\n\n\n\n"
+
+        /** [count] items, scored if [scored]; an item has the same identity in each call with the same [name]. */
+        fun items(name: String, count: Int, scored: Boolean = false): List<JobItem> = (0 until count).map {
+            val reward = RewardCall("score-$name$it", HOST, "/score/$name$it")
+            JobItem(ItemId("$name$it"), path = "/gen/$name$it", reward = reward.takeIf { scored })
+        }
+    }
+}
+
+/** Runs [test] with a started fixture. */
+internal fun withRunner(engines: Int = 4, scorers: Int = 3, test: suspend RunnerFixture.() -> Unit) = runTest {
+    RunnerFixture(this, engines, scorers).apply { start() }.test()
+}
