Never quarantine the reward call of an item

Callers saw: an item whose text was complete was never listed, though all was calm and the targets had room. Cause: reward calls go through the live forwarder, and its quarantine counts the targets that disconnect during a call. After three it refuses the call for ten minutes; and it keeps the call away from each target that crashed, so that in a service of few targets two crashes are enough. The runner calls again every 40 ms and is refused each time. Change: a live request says whether it may be quarantined; reward calls may not, since their item is owed. Calls of callers are judged as before. Measured: RewardAfterCrashesTest red before (not listed 5 s after the last crash), green after; the tests of both forwarders green.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -66,6 +66,7 @@
             received = now,
             deadline = now + route.timeout,
             hedgeDelay = route.objective,
+            mayBeQuarantined = false,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
@@ -43,15 +43,16 @@
     val follower = TopicFollower(log, Topic, this, clock, events) { RarePace }
 
     /** True if requests with the content of [request] are quarantined and must not be sent to any target. */
-    fun isRefused(request: LiveRequest): Boolean =
+    fun isRefused(request: LiveRequest): Boolean = request.mayBeQuarantined &&
         ledger.get().quarantineLevel(request.fingerprint, clock.now()) == QuarantineLevel.REFUSED
 
     /** Targets that [request] is suspected to have crashed. */
     fun crashedTargets(request: LiveRequest): Set<TargetId> =
-        ledger.get().crashedTargets(request.fingerprint, clock.now())
+        if (request.mayBeQuarantined) ledger.get().crashedTargets(request.fingerprint, clock.now()) else emptySet()
 
     /** Records and shares that [replica] disconnected, or did not respond validly, while it ran [request]. */
     fun targetDisconnected(request: LiveRequest, replica: Replica) {
+        if (!request.mayBeQuarantined) return
         val observation = CrashObservation(request.fingerprint.hex, replica.id)
         observe(observation)
         val value = Json.encodeToString(CrashObservation.serializer(), observation).encodeToByteArray()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -28,6 +28,8 @@
     val resumeAfter: Long? = null,
     /** Time without a response after which a repeatable request is sent to a second target. */
     val hedgeDelay: Duration = maxOf(route.objective * HEDGE_FRACTION, MIN_HEDGE_DELAY),
+    /** False for a request that is still owed after targets crashed while they served it. */
+    val mayBeQuarantined: Boolean = true,
     private val onRunning: (since: Instant) -> Unit = {},
 ) {
     private val running = AtomicBoolean()
