Record the text that was scored, not the progress of the item at that time

Callers saw (in tests only): a result listed as completed with an empty text. Cause: between the end of a text and its record lies the reward call, for as long as its targets need. The record took the text from the table of progress, which by then might have been cleared for its size (8,192 items), or restarted by a later job with the same item and a higher minimum version. Change: the text goes along with the conclusion. A run that begins anew also marks the text as incomplete. Measured: both tests of ItemProgressKeptTest red before (the text was empty), green after.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -158,7 +158,7 @@
         val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
         val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
         if (end != null) {
-            val work = scope.launch { guarded(task) { conclude(task, end) } }
+            val work = scope.launch { guarded(task) { conclude(task, end, known.transcript) } }
             running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
@@ -216,7 +216,7 @@
             "after_event" to "${before.transcript.lastEventNumber}",
         )
         val end = samples.run(task, engine, before.transcript) { extended ->
-            progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = extended) }
+            progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = extended, complete = false) }
         }
         val elapsed = clock.now() - begun
         recordEvent(
@@ -238,29 +238,26 @@
             running.remove(key)
         } else {
             running[key] = ActiveRun(currentCoroutineContext().job, engine = null, task, begun)
-            conclude(task, conclusion)
+            conclude(task, conclusion, (end as? RunOutcome.Complete)?.transcript ?: before.transcript)
         }
     }
 
     /** Scores the complete text of [task] if it has a reward call and records the result, or records it as aborted. */
-    private suspend fun conclude(task: SampleTask, conclusion: Conclusion) {
+    private suspend fun conclude(task: SampleTask, conclusion: Conclusion, transcript: Transcript) {
         val reward = task.item.reward
         val scored = if (conclusion == Conclusion.SCORE && reward != null) rewards.score(reward) else null
         when {
-            conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted -> record(
-                task,
-                ItemState.ABORTED,
-            )
+            conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted ->
+                record(task, ItemState.ABORTED, transcript)
 
-            else -> record(task, ItemState.COMPLETED, (scored as? RewardResult.Scored)?.signature)
+            else -> record(task, ItemState.COMPLETED, transcript, (scored as? RewardResult.Scored)?.signature)
         }
         val key = RunKey(task.job.id, task.item.id)
         items.concluded += key
         running.remove(key)
     }
 
-    private suspend fun record(task: SampleTask, state: ItemState, score: String? = null) {
-        val transcript = progress[task.item.id]?.transcript ?: Transcript()
+    private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
         val completed = state == ItemState.COMPLETED
         val result = ItemResult(
             item = task.item.id,
