Evict progress of items of closed jobs only, oldest first

Callers saw (in tests only): texts that were partly received started anew, and failed runs were no longer counted. Cause: the progress of all items was dropped each time the table passed 8,192 entries; 4 trainers with 4,096 samples a step keep it above that all the time. Change: the limit holds for items without an open job, and the oldest go first. Open items are kept; their number is that of the jobs view, so memory grows with the open items as the view itself does. Measured: 'resumes after the last event' red before in a form whose streams took no time (resumed after event 0 instead of 3), green after with streams of 20 ms an event; the property test green, not run on the code before.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -28,8 +28,8 @@
     /** Work in progress. */
     val running = HashMap<RunKey, ActiveRun>()
 
-    /** Progress by item. */
-    val progress = HashMap<ItemId, ItemProgress>()
+    /** Progress by item, in the order in which the items were first due. */
+    val progress = LinkedHashMap<ItemId, ItemProgress>()
 
     /** Items whose result was recorded but is not listed yet. */
     val concluded = HashSet<RunKey>()
@@ -47,7 +47,15 @@
         }
         concluded.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
         groups.keys.retainAll { it in open }
-        if (progress.size > MAX_TRACKED_ITEMS) progress.clear()
+        evictClosed(views)
+    }
+
+    /** Evicts the oldest progress of items without an open job, beyond [MAX_CLOSED_ITEMS]. */
+    private fun evictClosed(open: List<JobView>) {
+        if (progress.size <= MAX_CLOSED_ITEMS + open.sumOf { it.job?.items?.size ?: 0 }) return
+        val kept = open.flatMapTo(HashSet()) { view -> view.job?.items.orEmpty().map { it.id } }
+        val closed = progress.keys.filter { it !in kept }
+        closed.take((closed.size - MAX_CLOSED_ITEMS).coerceAtLeast(0)).forEach(progress::remove)
     }
 
     /** Items of [view], a job on [route], that may be sent to an engine now. */
@@ -88,6 +96,6 @@
 
     private companion object {
         /** Items whose progress is kept for later jobs: about a minute of work of the whole fleet. */
-        const val MAX_TRACKED_ITEMS = 8192
+        const val MAX_CLOSED_ITEMS = 8192
     }
 }
