--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/admin/AdminServer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/admin/AdminServer.kt
@@ -26,8 +26,11 @@
     public val standing: String = "healthy",
     /** True while the target is ejected and receives no new requests if another one is available. */
     public val ejected: Boolean = false,
-    /** True if the platform lists the target as leaving. */
+    /** True if the platform lists the target as leaving, or the target announced it in a response. */
     public val leaving: Boolean = false,
+    /** Path of the response in which the target announced its departure; null if none did. */
+    @SerialName("departure_seen_by")
+    public val departureSeenBy: String? = null,
 )
 
 /** A duty under whose lease this instance may act at the time of the snapshot. */
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -59,6 +59,7 @@
         val exchange = NettyExchange(channel)
         var reusable = false
         try {
+            if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
             exchange.send(message(request, uri))
             val head = when (val result = exchange.head()) {
                 is HeadReadResult.Received -> result
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
@@ -51,6 +51,7 @@
         request: TargetRequest,
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
+        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
         val client = if (request.freshConnection) freshClient() else longLived.get().client
         val pump = BodyPump()
         val response = try {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.platform.SendGuard
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
 
@@ -17,6 +18,8 @@
     public val body: ByteArray = ByteArray(0),
     /** True if the request must not reuse a connection that has been open for long, since it cannot be repeated. */
     public val freshConnection: Boolean = false,
+    /** Last check before the first byte is sent, once a connection is available. */
+    public val sendGuard: SendGuard = SendGuard.Always,
 )
 
 /** Result of one read from a response body. */
@@ -58,7 +61,7 @@
         public val value: T,
     ) : ExchangeResult<T>
 
-    /** The connection could not be opened: no byte of the request was sent. */
+    /** The connection could not be opened, or [TargetRequest.sendGuard] denied the request: no byte of the request was sent. */
     public data class NotSent(
         /** Error as text, for events and logs. */
         public val reason: String,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -1,7 +1,9 @@
 package dev.vanillarun.hosted
 
+import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.Incarnation
 import dev.vanillarun.core.id.InstanceId
+import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.lease.LeaseReducer
 import dev.vanillarun.core.lease.LeaseTiming
 import dev.vanillarun.core.log.DutyName
@@ -48,6 +50,7 @@
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
 import io.ktor.http.HttpStatusCode
@@ -97,8 +100,10 @@
 
     private val tracker = TargetTracker(clock)
     private val placement = PlacementBoard(ports.store, tracker, clock, events)
-    private val gateway = TargetGateway(ports.client, ports.targets, tracker)
-    private val chooser = ReplicaChooser(replicas, tracker, gateway::isWarm, DataCentre(settings.dataCentre), clock)
+    private val departures =
+        DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
+    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures)
+    private val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre(settings.dataCentre), clock)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
     private val streams = StreamForwarder(chooser, gateway, ports.targets, tracker, crashes, clock, events)
@@ -133,7 +138,7 @@
     )
 
     private val runner = JobRunner(
-        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker),
+        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures),
         samples = SampleRunner(gateway, ports.targets, tracker, clock),
         rewards = RewardCaller(catalog, live, clock, events),
         appender = jobAppender,
@@ -142,7 +147,7 @@
         wallClock = wallClock,
         events = events,
     )
-    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker)
+    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures)
     private val weightLoader = WeightLoader(
         duty = duty,
         calls = ports.calls,
@@ -184,6 +189,11 @@
     )
     private val servers = mutableListOf<HttpServer>()
 
+    init {
+        val help = "Targets that announced their departure in a response, by the path of the first such response."
+        metrics.counter("vanillarun_target_departures_total", help, "path") { departures.countsByKind }
+    }
+
     @Volatile
     private var stopping = false
 
@@ -234,7 +244,7 @@
             supervisor.start("appender.${appender.topic.value}") { appender.run() }
         }
         supervisor.start("targets.expiry") { replicas.run() }
-        supervisor.start("targets.tracking") { replicas.replicas.collect { tracker.retain(it.values) } }
+        supervisor.start("targets.tracking") { replicas.replicas.collect(::retainTargets) }
         supervisor.start("usage.meter") { usageMeter.run() }
         supervisor.start("slots") { slots.run() }
         supervisor.start("lease.appender") { leaseAppender.run() }
@@ -246,6 +256,11 @@
         supervisor.start("usage.reporter") { usageReporter.run() }
     }
 
+    private fun retainTargets(targets: Map<TargetId, Replica>) {
+        tracker.retain(targets.values)
+        departures.retain(targets.values)
+    }
+
     private fun status() = InstanceStatus(
         instance = settings.instance,
         incarnation = incarnation.value,
@@ -253,7 +268,13 @@
         configOffset = catalog.catalog.value?.version ?: -1,
         draining = stopping,
         targets = replicas.replicas.value.values.map {
-            TargetStatus(it.id.value, tracker.of(it).running, ejected = !tracker.usable(it), leaving = it.leaving)
+            TargetStatus(
+                target = it.id.value,
+                inFlight = tracker.of(it).running,
+                ejected = !tracker.usable(it),
+                leaving = it.leaving || departures.isDeparting(it),
+                departureSeenBy = departures.departureOf(it)?.label,
+            )
         },
         duties = listOfNotNull(duty.heldTerm?.let { HeldDuty(duty.name, it.value) }),
     )
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedSettings.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedSettings.kt
@@ -59,6 +59,9 @@
     /** Time from the stop signal until the platform kills the process, in seconds. */
     @SerialName("grace_s")
     public val graceS: Int = 8,
+    /** Time for which a target that announced its departure may get requests if there is no other, in milliseconds. */
+    @SerialName("drain_ms")
+    public val drainMs: Long = 2000,
 )
 
 private const val MIN_LEASE_MS = 500L
@@ -84,5 +87,6 @@
     check("hosting.slots", hosting.slots > 0, "must be 1 or more")
     check("hosting.usage_window_s", hosting.usageWindowS > 0, "must be 1 or more")
     check("hosting.lease_ms", hosting.leaseMs >= MIN_LEASE_MS, "must be $MIN_LEASE_MS or more")
+    check("hosting.drain_ms", hosting.drainMs >= 0, "must be 0 or more")
     check("hosting.grace_s", hosting.graceS > 0, "must be 1 or more")
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/ReplicaSource.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/ReplicaSource.kt
@@ -11,12 +11,15 @@
 import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
 import dev.vanillarun.hosted.store.TopicSink
+import dev.vanillarun.hosted.target.TargetListing
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -26,8 +29,10 @@
     private val codec: CatalogCodec,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
-) : TopicSink {
+) : TopicSink,
+    TargetListing {
     private val current = MutableStateFlow<Map<TargetId, Replica>>(emptyMap())
+    private val announcedAt = ConcurrentHashMap<TargetId, Instant>()
     private val removalDue = MutableStateFlow<Map<TargetId, Instant>>(emptyMap())
 
     /** Reads [CatalogCodec.targetTopic] into this view. */
@@ -36,8 +41,11 @@
     /** All announced targets by id, including those that are leaving. */
     val replicas: StateFlow<Map<TargetId, Replica>> = current.asStateFlow()
 
-    /** Targets of [service] that accept new work. */
-    fun of(service: String): List<Replica> = current.value.values.filter { it.service == service && !it.leaving }
+    override fun announcementAge(target: TargetId): Duration? = announcedAt[target]?.let { clock.now() - it }
+
+    override fun of(service: String): List<Replica> = current.value.values.filter {
+        it.service == service && !it.leaving
+    }
 
     /** Removes targets whose announcement expired during a store outage and was not renewed in time. */
     suspend fun run(): Nothing {
@@ -73,6 +81,7 @@
 
     private fun applyListed(replica: Replica) {
         removalDue.update { it - replica.id }
+        announcedAt[replica.id] = clock.now()
         val before = current.value[replica.id]
         if (before == replica) return
         current.update { it + (replica.id to replica) }
@@ -98,6 +107,7 @@
 
     private fun remove(id: TargetId, reason: String) {
         current.update { it - id }
+        announcedAt -= id
         removalDue.update { it - id }
         events.record("target.gone", EventLinks(), mapOf("target" to id.value, "reason" to reason))
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
@@ -6,7 +6,9 @@
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.log.Offset
 import dev.vanillarun.core.platform.PlatformResult
+import dev.vanillarun.core.platform.SendGuard
 import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.hosted.target.ResponseHead
 
 /** Holder and term of a lease, sent with a call; the receiver can reject a term older than one that it has seen. */
 public data class FencingToken(
@@ -91,11 +93,23 @@
 
 /** Calls to engines and to the hosting platform; all but [engineStatus] are reserved for the holder of the duty. */
 public interface HostingCalls {
-    /** Reads the state of [engine]; null if it does not respond in time or its response cannot be decoded. */
-    public suspend fun engineStatus(engine: Replica): EngineStatus?
+    /**
+     * Reads the state of [engine]; null if it does not respond in time or its response cannot be decoded. [onHead]
+     * receives the head of the response, also of one that is not complete.
+     */
+    public suspend fun engineStatus(engine: Replica, onHead: (ResponseHead) -> Unit): EngineStatus?
 
-    /** Sends [order] to [engine]; does not wait for the load. */
-    public suspend fun order(engine: Replica, order: LoadOrder, token: FencingToken): PlatformResult<OrderAnswer>
+    /**
+     * Sends [order] to [engine] if [guard] permits it; does not wait for the load. [onHead] receives the head of the
+     * response, also of one that is not complete.
+     */
+    public suspend fun order(
+        engine: Replica,
+        order: LoadOrder,
+        token: FencingToken,
+        guard: SendGuard,
+        onHead: (ResponseHead) -> Unit,
+    ): PlatformResult<OrderAnswer>
 
     /** Sends [order] to the hosting platform; repeating it has no further effect. */
     public suspend fun orderTargets(order: FleetOrder, token: FencingToken): PlatformResult<FleetAnswer>
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -15,6 +15,7 @@
 import dev.vanillarun.core.placement.ModelPlacement
 import dev.vanillarun.core.placement.placeModels
 import dev.vanillarun.core.platform.PlatformResult
+import dev.vanillarun.core.platform.SendGuard
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
@@ -23,6 +24,8 @@
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.job.JobBoard
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -40,6 +43,7 @@
     val placement: PlacementBoard,
     val jobs: JobBoard,
     val tracker: TargetTracker,
+    val departures: DepartureBoard,
 )
 
 /**
@@ -80,7 +84,7 @@
     private suspend fun runOnce(scope: CoroutineScope) {
         val catalog = inputs.catalog.catalog.value ?: return
         catalog.services.values.filter { it.models.isNotEmpty() }.forEach { service ->
-            val engines = inputs.replicas.of(service.name)
+            val engines = inputs.replicas.of(service.name).filterNot(inputs.departures::isDeparting)
             if (engines.isEmpty()) return@forEach
             val before = inputs.placement.placement.value
             val placement = placeModels(service.models, engines, before)
@@ -168,7 +172,7 @@
 
     /** Orders [version] and waits until [engine] reports it; false on failure or after [LOAD_TIMEOUT]. */
     private suspend fun orderAndAwait(engine: Replica, model: String, version: WeightVersion): Boolean {
-        val status = calls.engineStatus(engine) ?: return false
+        val status = readStatus(engine) ?: return false
         return when {
             servesVersion(status, engine, model, version) -> true
             !status.busy && !submit(engine, model, version, status) -> false
@@ -186,13 +190,23 @@
         delay(MIN_LOAD_TIME)
         while (clock.now() < until) {
             delay(STATUS_INTERVAL)
-            val next = calls.engineStatus(engine)
+            if (inputs.departures.isDeparting(engine)) return false
+            val next = readStatus(engine)
             if (next != null && servesVersion(next, engine, model, version)) return true
             if (next != null && !next.busy && next.acceptedOrders == before.acceptedOrders) return false
         }
         return false
     }
 
+    private suspend fun readStatus(engine: Replica): EngineStatus? =
+        calls.engineStatus(engine) { inputs.departures.responseReceived(engine, it, ExchangeKind.STATUS) }
+
+    private suspend fun send(engine: Replica, order: LoadOrder, token: FencingToken): PlatformResult<OrderAnswer> {
+        val departures = inputs.departures
+        val guard = SendGuard { !departures.isDeparting(engine) }
+        return calls.order(engine, order, token, guard) { departures.responseReceived(engine, it, ExchangeKind.ORDER) }
+    }
+
     private fun servesVersion(status: EngineStatus, engine: Replica, model: String, version: WeightVersion): Boolean {
         val served = status.weights[model] ?: return false
         inputs.tracker.versionObserved(engine, model, served)
@@ -205,7 +219,7 @@
         }
         val inFlight = if (singleVersion) InFlightPolicy.FINISH else InFlightPolicy.CONTINUE
         val order = LoadOrder(model, version, inFlight, status.acceptedOrders)
-        val answer = duty.perform(MAX_ORDER_TIME) { term -> calls.order(engine, order, FencingToken(self, term)) }
+        val answer = duty.perform(MAX_ORDER_TIME) { term -> send(engine, order, FencingToken(self, term)) }
         emit("weights.ordered", engine, model, version, "based_on" to "${order.basedOn}", "answer" to "$answer")
         return when (answer) {
             is PlatformResult.Answered -> answer.value == OrderAnswer.ACCEPTED || answer.value == OrderAnswer.HOLDS
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -7,6 +7,7 @@
 import dev.vanillarun.core.placement.fasterEngine
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 
 /** Selects engines for samples. An engine with failures gets one run at a time until it responds again. */
@@ -14,6 +15,7 @@
     private val replicas: ReplicaSource,
     private val tracker: TargetTracker,
     private val placement: PlacementBoard,
+    private val departures: DepartureBoard,
 ) {
     /** Returns the engine for [task], or null if all are full; [running] is the number of runs at each engine. */
     fun choose(task: SampleTask, running: Map<TargetId, Int>): Replica? {
@@ -33,6 +35,7 @@
         return task.route.services.flatMap { replicas.of(it.service) }
             .filter { model.isEmpty() || tracker.weights(it, model) >= task.job.minVersion }
             .filter(tracker::usable)
+            .filterNot(departures::isDeparting)
     }
 
     private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -22,6 +22,7 @@
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -44,6 +45,7 @@
     val placement: PlacementBoard,
     val slots: SlotMembership,
     val tracker: TargetTracker,
+    val departures: DepartureBoard,
 )
 
 /**
@@ -73,7 +75,7 @@
         val since: Instant,
     )
 
-    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement)
+    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures)
     private val confined: CoroutineDispatcher = Dispatchers.Default.limitedParallelism(1)
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val running = HashMap<RunKey, ActiveRun>()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.LiveOutcome
 import dev.vanillarun.hosted.live.LiveRequest
+import dev.vanillarun.hosted.target.ExchangeKind
 import io.ktor.http.Headers
 import kotlinx.coroutines.delay
 import java.util.Base64
@@ -66,6 +67,7 @@
             received = now,
             deadline = now + route.timeout,
             hedgeDelay = route.objective,
+            kind = ExchangeKind.REWARD,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -13,6 +13,7 @@
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.hosted.target.Activity
+import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.OutgoingRequest
@@ -172,6 +173,7 @@
             timeLeft = RUN_TIMEOUT,
             priority = task.route.priority,
             resumeAfter = before.lastEventNumber.takeIf { it > 0 },
+            kind = ExchangeKind.ITEM,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -67,7 +67,7 @@
         private var mayHaveRun = 0
         private var failure: LiveOutcome.Complete? = null
         private var serverErrors = 0
-        private var reason = "no target is known"
+        private var reason = chooser.reasonForNone(request.route)
 
         suspend fun run(): LiveOutcome {
             start()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
+import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.OutgoingRequest
 import io.ktor.http.Headers
 import java.util.concurrent.atomic.AtomicBoolean
@@ -28,6 +29,8 @@
     val resumeAfter: Long? = null,
     /** Time without a response after which a repeatable request is sent to a second target. */
     val hedgeDelay: Duration = maxOf(route.objective * HEDGE_FRACTION, MIN_HEDGE_DELAY),
+    /** Kind of the exchanges with targets. */
+    val kind: ExchangeKind = if (route.kind == RequestKind.STREAM) ExchangeKind.STREAM else ExchangeKind.LIVE,
     private val onRunning: (since: Instant) -> Unit = {},
 ) {
     private val running = AtomicBoolean()
@@ -58,6 +61,7 @@
         timeLeft = deadline - now,
         priority = priority,
         resumeAfter = after,
+        kind = kind,
     )
 
     private companion object {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -5,7 +5,7 @@
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.zone.DataCentre
-import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -18,7 +18,7 @@
  * calls of one instance to one target are rare.
  */
 internal class ReplicaChooser(
-    private val replicas: ReplicaSource,
+    private val departures: DepartureBoard,
     private val tracker: TargetTracker,
     private val isWarm: (Replica) -> Boolean,
     private val local: DataCentre,
@@ -28,7 +28,7 @@
     /** Returns a target for [route] not in [triedIds], one in backoff only if all are; null if there is none. */
     fun choose(route: CatalogRoute, triedIds: Set<TargetId>): Replica? {
         val service = service(route) ?: return null
-        val candidates = replicas.of(service).filter { it.id !in triedIds }
+        val candidates = departures.eligible(service).filter { it.id !in triedIds }
         val usable = candidates.filter(tracker::usable)
         val assumed = assumedLatency(candidates)
         return usable.ifEmpty { candidates }
@@ -44,10 +44,14 @@
 
     /** True if every target of [route] backs off after rejections for lack of capacity, not after failures. */
     fun isFull(route: CatalogRoute): Boolean {
-        val candidates = route.services.flatMap { replicas.of(it.service) }
+        val candidates = route.services.flatMap { departures.eligible(it.service) }
         return candidates.isNotEmpty() && candidates.all { !tracker.usable(it) && tracker.of(it).failures == 0 }
     }
 
+    /** Why [choose] finds no target for a new request of [route]. */
+    fun reasonForNone(route: CatalogRoute): String =
+        if (route.services.any { departures.hasLeft(it.service) }) "all targets are leaving" else "no target is known"
+
     private fun service(route: CatalogRoute): String? {
         val shares = route.services.filter { it.weight > 0 }
         val total = shares.sumOf { it.weight }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -80,7 +80,7 @@
         private var refusals = 0
         private var lastEventAt: Instant? = null
         private var failure: LiveOutcome.Complete? = null
-        private var reason = "no target is known"
+        private var reason = chooser.reasonForNone(request.route)
 
         suspend fun run(): LiveOutcome {
             do {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
@@ -28,6 +28,8 @@
     public val priority: Int,
     /** Number of the last received event, after which the stream resumes; null to start from the beginning. */
     public val resumeAfter: Long? = null,
+    /** Kind of the exchange, for events and metrics. */
+    public val kind: ExchangeKind = ExchangeKind.LIVE,
 )
 
 /** Status and decoded headers of a target's response. */
@@ -44,7 +46,16 @@
     public val weights: Long?,
     /** Load of the target; null if not reported. */
     public val load: TargetLoad?,
-)
+    /** True if the target that responded announces its departure: it will stop and must get no new requests. */
+    public val leaving: Boolean = false,
+) {
+    /** True if another target than the intended one responded, which has not run the request. */
+    public val wrongTarget: Boolean get() = status == MISDIRECTED
+
+    private companion object {
+        const val MISDIRECTED = 421
+    }
+}
 
 /** Load that a target reports in the headers of a response. */
 public data class TargetLoad(
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -47,21 +47,27 @@
     private val client: TargetClient,
     private val dialect: TargetDialect,
     private val tracker: TargetTracker,
+    private val departures: DepartureBoard,
 ) {
     /** True if a request to [replica] needs no new connection. */
     public fun isWarm(replica: Replica): Boolean = client.isWarm(replica.address)
 
-    /** Sends [request] to [replica] and passes the response to [handle] if the target ran the request. */
+    /**
+     * Sends [request] to [replica] and passes the response to [handle] if the target ran the request. A target that has
+     * departed since it was chosen gets nothing.
+     */
     public suspend fun <T> send(
         request: OutgoingRequest,
         replica: Replica,
         handle: suspend (OpenedResponse) -> T,
     ): SendResult<T> {
+        if (!departures.mayReceive(replica)) return SendResult.NotRun("the target is leaving", wrongTarget = false)
         val outgoing = TargetRequest(
             method = request.method,
             url = "http://${replica.address}${request.uri}",
             headers = dialect.headers(request, replica),
             body = request.body,
+            sendGuard = { departures.mayReceive(replica) },
         )
         tracker.requestStarted(replica)
         try {
@@ -82,7 +88,8 @@
         handle: suspend (OpenedResponse) -> T,
     ): SendResult<T> {
         val head = answer.head
-        if (head.status == MISDIRECTED) return SendResult.NotRun("another target answers", wrongTarget = true)
+        departures.responseReceived(replica, head, request.kind)
+        if (head.wrongTarget) return SendResult.NotRun("another target answers", wrongTarget = true)
         if (head.requestId != request.id) return SendResult.Unknown("an answer to another request")
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
@@ -108,9 +115,6 @@
     }
 
     private companion object {
-        /** Status of a response by a target other than the intended one. */
-        const val MISDIRECTED = 421
-
         /** Maximum size of a rejection body that is read to keep the connection reusable. */
         const val MAX_REFUSAL_BYTES = 64 * 1024
     }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -12,6 +12,7 @@
 import dev.vanillarun.hosted.target.ResponseHead
 import dev.vanillarun.hosted.target.TargetDialect
 import io.ktor.http.Headers
+import io.ktor.http.HeadersBuilder
 import io.ktor.http.headersOf
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
@@ -58,25 +59,44 @@
     /** Address of each request, in the order of sending. */
     val requestedAddresses = CopyOnWriteArrayList<String>()
 
+    /** Addresses whose responses announce the target's departure. */
+    val leaving = CopyOnWriteArrayList<String>()
+
+    /** Runs after a target was chosen, before each request is sent. */
+    var beforeSend: () -> Unit = {}
+
     override suspend fun <T> exchange(
         request: TargetRequest,
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
+        beforeSend()
+        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld")
         val address = request.url.substringAfter("//").substringBefore('/')
         requestedAddresses += address
         val id = request.headers["id"].orEmpty()
-        return when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
-            is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
-            is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
-            is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
-            is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
-            Behaviour.MismatchedResponse -> ExchangeResult.Answered(handle(answer(200, "other", notRun = false)))
-            Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
-            Behaviour.Silence -> awaitCancellation()
-            Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
+        return respond(address, id, request) { response ->
+            val headers = HeadersBuilder().apply { appendAll(response.headers) }
+            if (address in leaving) headers["leaving"] = "true"
+            handle(TargetResponse(response.status, headers.build(), response.body))
         }
     }
 
+    private suspend fun <T> respond(
+        address: String,
+        id: String,
+        request: TargetRequest,
+        handle: suspend (TargetResponse) -> T,
+    ): ExchangeResult<T> = when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
+        is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
+        is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
+        is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
+        is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
+        Behaviour.MismatchedResponse -> ExchangeResult.Answered(handle(answer(200, "other", notRun = false)))
+        Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
+        Behaviour.Silence -> awaitCancellation()
+        Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
+    }
+
     private fun answer(status: Int, id: String, notRun: Boolean): TargetResponse {
         val parts = ArrayDeque(listOf<BodyPart>(BodyPart.Bytes("body".encodeToByteArray())))
         val headers = headersOf("id" to listOf(id), "signature" to listOf("s"), "notRun" to listOf("$notRun"))
@@ -120,6 +140,7 @@
         notRun = headers["notRun"] == "true",
         weights = null,
         load = null,
+        leaving = headers["leaving"] == "true",
     )
 
     override fun event(text: String): SampleEvent? =
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.hosted.fake.FakeTargets
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CoroutineScope
@@ -16,6 +17,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlin.time.Duration.Companion.seconds
 
 /** Forwarders for live calls in front of in-memory targets. */
 internal class LiveTestFixture(val targets: FakeTargets, val live: LiveForwarder, val streams: StreamForwarder)
@@ -32,8 +34,9 @@
     val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p")
     launch { appender.run() }
     val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoOpEventRecorder)
-    val gateway = TargetGateway(targets, targets, tracker)
-    val chooser = ReplicaChooser(replicas, tracker, gateway::isWarm, DataCentre("z"), SystemClock)
+    val departures = DepartureBoard(replicas, 2.seconds, SystemClock, System::currentTimeMillis, NoOpEventRecorder)
+    val gateway = TargetGateway(targets, targets, tracker, departures)
+    val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), SystemClock)
     val live = LiveForwarder(chooser, gateway, tracker, crashes, SystemClock, NoOpEventRecorder)
     val streams = StreamForwarder(chooser, gateway, targets, tracker, crashes, SystemClock, NoOpEventRecorder)
     LiveTestFixture(targets, live, streams).test()
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/ReplicaChooserTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/ReplicaChooserTest.kt
@@ -11,6 +11,7 @@
 import dev.vanillarun.hosted.fake.FakeCodec
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.fake.ManualClock
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
@@ -39,8 +40,10 @@
 private class Instance(replicas: ReplicaSource, seed: Int, clock: ManualClock) {
     val tracker = TargetTracker(clock)
     val connected = mutableSetOf<TargetId>()
+    private val departures =
+        DepartureBoard(replicas, 2.seconds, clock, System::currentTimeMillis, NoOpEventRecorder)
     val chooser =
-        ReplicaChooser(replicas, tracker, { it.id in connected }, DataCentre("z"), clock, random = Random(seed))
+        ReplicaChooser(departures, tracker, { it.id in connected }, DataCentre("z"), clock, random = Random(seed))
 
     /** Sends one call that takes [latency] at the chosen target. */
     fun call(latency: (Replica) -> Duration): TargetId {
