--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/PooledTargetClient.kt
@@ -50,8 +50,10 @@
     override suspend fun <T> exchange(
         request: TargetRequest,
         handle: suspend (TargetResponse) -> T,
-    ): ExchangeResult<T> {
-        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
+    ): ExchangeResult<T> =
+        if (request.sendGuard.permits()) send(request, handle) else ExchangeResult.NotSent("withheld by its guard")
+
+    private suspend fun <T> send(request: TargetRequest, handle: suspend (TargetResponse) -> T): ExchangeResult<T> {
         val client = if (request.freshConnection) freshClient() else longLived.get().client
         val pump = BodyPump()
         val response = try {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -18,7 +18,7 @@
     public val body: ByteArray = ByteArray(0),
     /** True if the request must not reuse a connection that has been open for long, since it cannot be repeated. */
     public val freshConnection: Boolean = false,
-    /** Last check before the first byte is sent, once a connection is available. */
+    /** Last check before the first byte is sent; clients that cannot check then do so before they connect. */
     public val sendGuard: SendGuard = SendGuard.Always,
 )
 
@@ -61,7 +61,7 @@
         public val value: T,
     ) : ExchangeResult<T>
 
-    /** The connection could not be opened, or [TargetRequest.sendGuard] denied the request: no byte of the request was sent. */
+    /** The connection could not be opened, or [TargetRequest.sendGuard] denied the request: no byte was sent. */
     public data class NotSent(
         /** Error as text, for events and logs. */
         public val reason: String,
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -87,6 +87,18 @@
                     server.connections.get() shouldBe 1
                 }
             }
+            // Guards against requests to a target that departed while the connection was being opened.
+            it("carries nothing if the guard of the request denies it once the connection is open") {
+                val requests = AtomicInteger()
+                val respond: Socket.(String) -> Unit = { requests.incrementAndGet() }
+                with(respond) { client, server ->
+                    val request = TargetRequest("GET", "${server.url}/", Headers.Empty, sendGuard = { false })
+                    client.exchange(request) {}.shouldBeInstanceOf<ExchangeResult.NotSent>()
+                    server.endCause.await()
+                    server.connections.get() shouldBe 1
+                    requests.get() shouldBe 0
+                }
+            }
             it("is not reused after a response with Connection: close") {
                 with({ send(OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")) }) { client, server ->
                     repeat(2) { client.get(server.url) shouldBe ExchangeResult.Answered("ok" to true) }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -203,6 +203,9 @@
     /** Bound address of the readiness probe, `host:port`; valid once [start] has returned. */
     public val readyAddress: String get() = servers[READY_SERVER].address
 
+    /** Bound address of metrics and status, `host:port`; valid once [start] has returned. */
+    public val adminAddress: String get() = servers[ADMIN_SERVER].address
+
     /** True if the load balancer may route callers here: a catalog is known, the views are fresh and no drain runs. */
     public val ready: Boolean get() = !stopping && listOf(catalog.follower, replicas.follower, board.follower).all {
         it.state.value.ready && (it.age(clock.now()) ?: Duration.INFINITE) < MAX_VIEW_AGE
@@ -308,6 +311,7 @@
         /** Indices in the list of servers, which are started in this order. */
         const val CALLER_SERVER = 0
         const val READY_SERVER = 1
+        const val ADMIN_SERVER = 2
 
         val LeaseTopic = TopicName("duty", keyed = false)
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -129,6 +129,20 @@
                     targets.requestedAddresses shouldHaveSize 2
                 }
             }
+            // Guards against hedges and retries to a target that has announced its departure.
+            it("is not sent to a target that has departed, as a hedge or after a failure") {
+                listOf(Behaviour.Silence, Behaviour.Disconnect, Behaviour.Response(503, notRun = true)).forEach {
+                    withTargets(2) {
+                        targets.leaving += "t0:80"
+                        targets.behaviours["t1:80"] = Behaviour.Unreachable
+                        live.serve(request(route(RequestKind.IDEMPOTENT)))
+                        targets.requestedAddresses.clear()
+                        targets.behaviours["t1:80"] = it
+                        live.serve(request(route(RequestKind.IDEMPOTENT), within = 300.milliseconds))
+                        targets.requestedAddresses.distinct() shouldBe listOf("t1:80")
+                    }
+                }
+            }
             it("asks no more targets than its route allows") {
                 withTargets(5) {
                     targets.all(5, Behaviour.Silence)
