--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -7,6 +7,7 @@
 import dev.vanillarun.core.placement.fasterEngine
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 
 /** Result of [EngineSelector.choose]. */
@@ -18,7 +19,7 @@
     enum class None(val description: String) : EngineChoice {
         NOT_LISTED("no engine is listed"),
         NO_WEIGHTS("no engine has the weights"),
-        BACKED_OFF("all engines with the weights are backed off"),
+        BACKED_OFF("all engines with the weights are backed off or leaving"),
         FULL("all engines are full"),
     }
 }
@@ -28,12 +29,13 @@
     private val replicas: ReplicaSource,
     private val tracker: TargetTracker,
     private val placement: PlacementBoard,
+    private val departures: DepartureBoard,
 ) {
     /** Returns the engine for [task], or why there is none; [running] is the number of runs at each engine. */
     fun choose(task: SampleTask, running: Map<TargetId, Int>): EngineChoice {
         val listed = listed(task)
         val capable = listed.filter { isCapable(it, task) }
-        val usable = capable.filter(tracker::usable)
+        val usable = capable.filter(::isUsable)
         val chosen = chooseEngine(usable.map { load(it, task, running) })
         return when {
             chosen != null -> EngineChoice.Chosen(usable.first { it.id == chosen.id })
@@ -46,7 +48,7 @@
 
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
     fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, Int>): TargetId? {
-        val engines = listed(task).filter { isCapable(it, task) && tracker.usable(it) }
+        val engines = listed(task).filter { isCapable(it, task) && isUsable(it) }
         val loads = engines.map { load(it, task, running) }
         return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
     }
@@ -58,6 +60,8 @@
         return model.isEmpty() || tracker.weights(engine, model) >= task.job.minVersion
     }
 
+    private fun isUsable(engine: Replica): Boolean = tracker.usable(engine) && !departures.isDeparting(engine)
+
     private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
         val placed = placement.placement.value.enginesOf(task.job.model)
         val observations = tracker.of(engine)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -20,6 +20,7 @@
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -43,6 +44,7 @@
     val placement: PlacementBoard,
     val slots: SlotMembership,
     val tracker: TargetTracker,
+    val departures: DepartureBoard,
 )
 
 /**
@@ -64,7 +66,7 @@
 ) {
     private enum class Conclusion { SCORE, ABORT }
 
-    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement)
+    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures)
     private val unplaced = UnplacedItems(clock, events)
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.LiveOutcome
 import dev.vanillarun.hosted.live.LiveRequest
+import dev.vanillarun.hosted.target.ExchangeKind
 import io.ktor.http.Headers
 import kotlinx.coroutines.delay
 import java.util.Base64
@@ -67,6 +68,7 @@
             deadline = now + route.timeout,
             hedgeDelay = route.objective,
             mayBeQuarantined = false,
+            kind = ExchangeKind.REWARD,
         )
     }
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -32,6 +32,7 @@
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.flow.first
@@ -77,12 +78,13 @@
         val appender = DurableAppender(log, JobBoard.Topic, "jobs")
         val crashAppender = DurableAppender(log, CrashBoard.Topic, "crashes")
         val slots = SlotMembership(log, "i", events)
-        val gateway = TargetGateway(targets, targets, tracker)
+        val departures = DepartureBoard(replicas, 2.seconds, clock, { now.inWholeMilliseconds }, events)
+        val gateway = TargetGateway(targets, targets, tracker, departures)
         val crashes = CrashBoard(log, crashAppender, background, clock, events)
-        val chooser = ReplicaChooser(replicas, tracker, gateway::isWarm, DataCentre("z"), clock)
+        val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), clock)
         val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
         val runner = JobRunner(
-            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker),
+            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures),
             samples = SampleRunner(gateway, targets, tracker, clock),
             rewards = RewardCaller(catalog, live, clock, events),
             appender = appender,
@@ -95,6 +97,7 @@
         listOf(catalog.follower, replicas.follower, board.follower, placement.follower, crashes.follower)
             .forEach { background.launch { it.run() } }
         listOf(appender, crashAppender).forEach { background.launch { it.run() } }
+        background.launch { board.content.run() }
         background.launch { slots.run() }
         replicas.replicas.first { it.size == engines + scorers }
         catalog.catalog.first { it != null }
