Pass on no success of a stream's target without a signature

Callers of a stream got a 201 or 204 that no server had signed as if it were the answer.

Cause: StreamForwarder looked for the signature of status 200 only; any other status was passed on as it came.

Change: every 2xx without a signature is a broken answer, as in LiveForwarder.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -166,12 +166,14 @@
         private suspend fun forwardResponse(answer: OpenedResponse, activity: Activity, replica: Replica): Outcome {
             activity.received()
             val status = answer.head.status
+            if (status < FIRST_ERROR && answer.head.signature == null) {
+                return Outcome.Interrupted("a success without a signature")
+            }
             if (status != OK) {
                 val body = answer.body.readFully(MAX_RESPONSE_BYTES) ?: return Outcome.Interrupted("a broken answer")
                 val headers = HeaderRules.towardsCaller(answer.headers)
                 return Outcome.NonStream(LiveOutcome.Complete(status, headers, body, answer.head.signature))
             }
-            if (answer.head.signature == null) return Outcome.Interrupted("an answer without a signature")
             if (!opened) {
                 opened = true
                 send(activity) { sink.open(status, HeaderRules.towardsCaller(answer.headers)) }
@@ -235,6 +237,7 @@
 
     private companion object {
         const val OK = 200
+        const val FIRST_ERROR = 300
         const val FIRST_SERVER_ERROR = 500
 
         /** Maximum number of rejected attempts of one request. */
