--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
@@ -87,6 +87,7 @@
             }
             val bodies = mapOf(
                 "a chunk's size" to EndlessTarget(OK_HEAD, "0".repeat(4096)),
+                "a chunk's extension" to EndlessTarget(OK_HEAD + "1;", "x".repeat(4096)),
                 "trailers" to EndlessTarget(OK_HEAD + "0\r\n", "X-More: ${"y".repeat(1000)}\r\n"),
                 "a body" to EndlessTarget("HTTP/1.1 200 OK\r\n\r\n", "z".repeat(8192)),
             )
