Take a refusal by its head, without waiting for its body

A stream that may run once got a 504 at its deadline, though its target had refused it at once and another one was free; a stream that may be resumed lost the stall limit of 1.5 s.

Cause: TargetGateway read the body of a refusal to its end before it returned, to keep the connection reusable. A target that sent the head and then stalled held the request.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -7,7 +7,9 @@
 import dev.vanillarun.daemon.target.TargetClient
 import dev.vanillarun.daemon.target.TargetRequest
 import io.ktor.http.Headers
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A response whose head has arrived and whose request id was checked. */
 public class OpenedResponse(
@@ -86,7 +88,7 @@
         if (head.requestId != request.id) return SendResult.Unknown("an answer to another request")
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
-        answer.body.readFully(MAX_REFUSAL_BYTES)
+        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { answer.body.readFully(MAX_REFUSAL_BYTES) }
         return SendResult.NotRun("the target refused with ${head.status}", wrongTarget = false)
     }
 
@@ -113,6 +115,9 @@
 
         /** Maximum size of a rejection body that is read to keep the connection reusable. */
         const val MAX_REFUSAL_BYTES = 64 * 1024
+
+        /** Maximum time for that; the head alone says that the request has not run. */
+        val REFUSAL_BODY_TIMEOUT = 50.milliseconds
     }
 }
 
