Take no 421 to another request for a refusal of this one

A request that must run once went to a second target, or was refused as not run, after a late 421 that named another request, while the first target may have run it.

Cause: TargetGateway looked at the status before it compared the request ids.

Change: a 421 counts as a refusal if it names this request or none.

StreamForwarderTest, "is not sent again for a rejection that answers another request": red before (NotRun instead of Unknown), green after.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -84,7 +84,8 @@
         handle: suspend (OpenedResponse) -> T,
     ): SendResult<T> {
         val head = answer.head
-        if (head.status == MISDIRECTED) return SendResult.NotRun("another target answers", wrongTarget = true)
+        val isMisdirected = head.status == MISDIRECTED && (head.requestId == null || head.requestId == request.id)
+        if (isMisdirected) return SendResult.NotRun("another target answers", wrongTarget = true)
         if (head.requestId != request.id) return SendResult.Unknown("an answer to another request")
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -36,8 +36,8 @@
     /** Streams five events that are [interval] apart. */
     data class SlowStream(val interval: Duration) : Behaviour
 
-    /** Sends a response that carries another request's id. */
-    data object MismatchedResponse : Behaviour
+    /** Sends a response with [status] that carries another request's id. */
+    data class MismatchedResponse(val status: Int = 200) : Behaviour
 
     /** Accepts the request and disconnects before a response. */
     data object Disconnect : Behaviour
@@ -67,12 +67,20 @@
         val id = request.headers["id"].orEmpty()
         return when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
             is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
+
             is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
+
             is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
+
             is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
-            Behaviour.MismatchedResponse -> ExchangeResult.Answered(handle(answer(200, "other", notRun = false)))
+
+            is Behaviour.MismatchedResponse ->
+                ExchangeResult.Answered(handle(answer(behaviour.status, "other", notRun = false)))
+
             Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
+
             Behaviour.Silence -> awaitCancellation()
+
             Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
         }
     }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -164,7 +164,7 @@
                     Behaviour.Unreachable to true,
                     Behaviour.Response(503, notRun = true) to true,
                     Behaviour.Disconnect to false,
-                    Behaviour.MismatchedResponse to false,
+                    Behaviour.MismatchedResponse() to false,
                 )
                     .forEach { (behaviour, notRun) ->
                         withTargets(3) {
@@ -178,7 +178,7 @@
             it("is never sent a second time after it may have run, if it may run once") {
                 listOf(
                     Behaviour.Disconnect,
-                    Behaviour.MismatchedResponse,
+                    Behaviour.MismatchedResponse(),
                     Behaviour.Response(500),
                 ).forEach { behaviour ->
                     withTargets(3) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -178,7 +178,11 @@
                 }
             }
             it("resumes at another target if one stalls or fails") {
-                listOf(Behaviour.Silence, Behaviour.Response(500), Behaviour.MismatchedResponse).forEach { behaviour ->
+                listOf(
+                    Behaviour.Silence,
+                    Behaviour.Response(500),
+                    Behaviour.MismatchedResponse(),
+                ).forEach { behaviour ->
                     withTargets(2) {
                         targets.behaviours["t0:80"] = behaviour
                         targets.behaviours["t1:80"] = Behaviour.EventStream()
@@ -220,6 +224,14 @@
                     streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.NotRun>()
                 }
             }
+            // A late 421 to another request made a request that had been sent go to a second target.
+            it("is not sent again for a rejection that answers another request") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.MismatchedResponse(status = 421))
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.Unknown>()
+                    targets.requestedAddresses shouldHaveSize 1
+                }
+            }
             it("is refused after three targets disconnected, whoever sends it again") {
                 withTargets(6) {
                     targets.all(6, Behaviour.EventStream(breakAfter = 2))
