Report the calls that the end of a drain cuts

drain.ended had only the number of handlers still running. It could not tell a request that was read and not yet counted, or an answer whose bytes were still in the process, from a drain that cut nothing.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
@@ -20,11 +20,29 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.coroutines.resume
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Tracks the connections of callers: limits their number, closes idle ones, and supports a graceful drain. */
-public class Connections(private val maxConnections: Int, private val idleSeconds: Long = 120) {
+/** A request that was read and whose response has not completely left this process. */
+public data class UnansweredRequest(
+    /** Value of the request id header; null if the request has none. */
+    public val id: String?,
+    /** Time since the head of the request was read. */
+    public val age: Duration,
+    /** Bytes of the response that wait to be written to the socket. */
+    public val unflushedBytes: Long,
+)
+
+/**
+ * Tracks the connections of callers: limits their number, closes idle ones, and supports a graceful drain.
+ * [idHeader] is the name of the request header with the id by which [unanswered] reports requests.
+ */
+public class Connections(
+    private val maxConnections: Int,
+    private val idleSeconds: Long = 120,
+    private val idHeader: String? = null,
+) {
     private val open = ConcurrentHashMap.newKeySet<Tracker>()
     internal val listeners: MutableSet<Channel> = ConcurrentHashMap.newKeySet()
     private val arrivalCount = AtomicLong()
@@ -41,6 +59,10 @@
     /** Number of new connections whose first request may still be in transit. */
     public val unused: Int get() = open.count { it.awaitsFirstRequest }
 
+    /** Requests whose response has not completely left this process; the newest of each connection, at most [limit]. */
+    public fun unanswered(limit: Int): List<UnansweredRequest> =
+        open.asSequence().mapNotNull { it.unanswered() }.take(limit).toList()
+
     /** Adds the idle timeout and the tracking handler to the pipeline of a newly accepted connection. */
     public fun track(pipeline: ChannelPipeline) {
         pipeline.addFirst(IdleStateHandler(0, 0, idleSeconds, TimeUnit.SECONDS))
@@ -84,6 +106,9 @@
 
         @Volatile
         private var used = false
+
+        @Volatile
+        private var newest: ReadRequest? = null
         private val openedAt = TimeSource.Monotonic.markNow()
 
         val awaitsFirstRequest: Boolean get() = !used && openedAt.elapsedNow() < FIRST_REQUEST_TIMEOUT
@@ -96,11 +121,17 @@
         }
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is HttpRequest) requestStarted()
+            if (message is HttpRequest) requestStarted(message)
             super.channelRead(context, message)
         }
 
-        private fun requestStarted() {
+        fun unanswered(): UnansweredRequest? = newest?.takeIf { requests > 0 }?.let { request ->
+            val unflushed = channel?.unsafe()?.outboundBuffer()?.totalPendingWriteBytes() ?: 0
+            UnansweredRequest(request.id, request.at.elapsedNow(), unflushed)
+        }
+
+        private fun requestStarted(request: HttpRequest) {
+            newest = ReadRequest(idHeader?.let { request.headers()[it] }, TimeSource.Monotonic.markNow())
             requests++
             used = true
             arrivalCount.incrementAndGet()
@@ -126,6 +157,8 @@
         }
     }
 
+    private class ReadRequest(val id: String?, val at: TimeSource.Monotonic.ValueTimeMark)
+
     private companion object {
         /** Name of the HTTP codec in the pipeline, as set by Ktor's Netty engine. */
         const val CODEC = "codec"
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -33,6 +33,7 @@
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
 import dev.vanillarun.hosted.front.CallCounter
+import dev.vanillarun.hosted.front.DrainReport
 import dev.vanillarun.hosted.front.FrontServer
 import dev.vanillarun.hosted.front.JobEndpoint
 import dev.vanillarun.hosted.job.JobBoard
@@ -182,6 +183,8 @@
         clock = clock,
         events = events,
     )
+    private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader)
+    private val drainReport = DrainReport(connections, callCounter, clock, events)
     private val servers = mutableListOf<HttpServer>()
 
     @Volatile
@@ -203,8 +206,7 @@
      * been read.
      */
     public suspend fun start() {
-        servers +=
-            HttpServer.start(settings.callerAddress, Connections(MAX_CALLER_CONNECTIONS)) { frontServer.install(this) }
+        servers += HttpServer.start(settings.callerAddress, connections) { frontServer.install(this) }
         servers += HttpServer.start(settings.readyAddress) {
             routing {
                 get(ports.callers.readyPath) {
@@ -260,8 +262,8 @@
 
     /**
      * Drains this instance within the grace period: fails the readiness probe, releases the duty and the slots, and
-     * serves calls until no more arrive and none is in progress, so that no call is cut off. The event `drain.ended`
-     * has the number of calls that were still in progress when the grace period ended.
+     * serves calls until no more arrive and none is in progress, so that no call is cut off. The events
+     * `drain.call_cut` and `drain.ended` report the calls that were still in progress when the grace period ended.
      */
     public suspend fun drain() {
         stopping = true
@@ -280,7 +282,7 @@
             }
             usageMeter.flush()
         }
-        events.record("drain.ended", EventLinks(), mapOf("cut" to "${callCounter.inProgress}"))
+        drainReport.record()
     }
 
     private companion object {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
@@ -1,17 +1,35 @@
 package dev.vanillarun.hosted.front
 
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.daemon.metrics.DaemonMetrics
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
+/** When and to which target a call was last passed on. */
+internal data class PassedOn(val target: TargetId, val at: Instant)
+
+/** A call in progress. */
+internal class TrackedCall(
+    /** Request id chosen by the caller; null if it sent none. */
+    val id: String?,
+) {
+    /** Last target of the call; null if it was not passed on. */
+    @Volatile
+    var passedOn: PassedOn? = null
+}
+
 /** Counts calls for the metrics and for a drain, which waits until no call is in progress. */
 internal class CallCounter(private val metrics: DaemonMetrics) {
-    private val open = AtomicInteger()
+    private val open = ConcurrentHashMap.newKeySet<TrackedCall>()
     private val arrivedCalls = AtomicLong()
 
     /** Number of calls in progress. */
-    val inProgress: Int get() = open.get()
+    val inProgress: Int get() = open.size
+
+    /** Calls in progress. */
+    val calls: Set<TrackedCall> get() = open
 
     /** Number of calls received since the start, including those in progress. */
     val arrivals: Long get() = arrivedCalls.get()
@@ -24,14 +42,15 @@
         metrics.gauge("vanillarun_requests_in_progress", "Calls in progress.") { inProgress.toDouble() }
     }
 
-    /** Runs [call] and counts it as in progress until it returns or throws. */
-    suspend fun track(call: suspend () -> Unit) {
+    /** Runs [call] with request id [id] and counts it as in progress until it returns or throws. */
+    suspend fun track(id: String?, call: suspend (TrackedCall) -> Unit) {
+        val tracked = TrackedCall(id)
         arrivedCalls.incrementAndGet()
-        open.incrementAndGet()
+        open += tracked
         try {
-            call()
+            call(tracked)
         } finally {
-            open.decrementAndGet()
+            open -= tracked
         }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -47,6 +47,7 @@
     val metadata: CallMetadata,
     val body: ByteArray,
     val received: Instant,
+    val tracked: TrackedCall,
 )
 
 /** Media type of the Content-Type header; null if the header is missing or invalid. */
@@ -81,17 +82,19 @@
     /** Installs the handling of all calls in [application]. */
     fun install(application: Application) {
         application.install(HttpRequestLifecycle) { cancelCallOnClose = true }
-        application.intercept(ApplicationCallPipeline.Call) { calls.track { handle(context) } }
+        application.intercept(ApplicationCallPipeline.Call) {
+            calls.track(context.request.headers[dialect.idHeader]) { handle(context, it) }
+        }
     }
 
-    private suspend fun handle(call: ApplicationCall) {
+    private suspend fun handle(call: ApplicationCall, tracked: TrackedCall) {
         val received = clock.now()
         val head = RequestHead(call.request.httpMethod.value, call.request.uri, call.request.headers)
         val metadata = dialect.metadata(head)
         metadata.id?.let { call.response.header(dialect.idHeader, it) }
         if (calls.closeConnections) call.response.header(HttpHeaders.Connection, "close")
         val body = call.receive<ByteArray>()
-        val reply = handleAndRespond(call, IncomingRequest(head, metadata, body, received))
+        val reply = handleAndRespond(call, IncomingRequest(head, metadata, body, received, tracked))
         val elapsed = clock.now() - received
         calls.recordResponse(reply.status, elapsed)
         val attributes = mapOf(
@@ -187,6 +190,7 @@
         received = received,
         deadline = received + minOf(metadata.timeLeft ?: Duration.INFINITE, route.timeout),
         resumeAfter = metadata.resumeAfter.takeIf { route.resumable },
+        onPassedOn = { target, at -> tracked.passedOn = PassedOn(target, at) },
         onRunning = { since -> customer?.let { usage.count(it.id, since) } },
     )
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -127,6 +127,7 @@
 
         private suspend fun attempt(replica: Replica): Attempt {
             val sentAt = clock.now()
+            request.onPassedOn(replica.id, sentAt)
             val sent = try {
                 gateway.send(request.outgoing(sentAt), replica) { readResponse(it) }
             } catch (e: CancellationException) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.CatalogCustomer
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.hosted.target.OutgoingRequest
@@ -28,6 +29,8 @@
     val resumeAfter: Long? = null,
     /** Time without a response after which a repeatable request is sent to a second target. */
     val hedgeDelay: Duration = maxOf(route.objective * HEDGE_FRACTION, MIN_HEDGE_DELAY),
+    /** Called before each attempt, with its target. */
+    val onPassedOn: (target: TargetId, at: Instant) -> Unit = { _, _ -> },
     private val onRunning: (since: Instant) -> Unit = {},
 ) {
     private val running = AtomicBoolean()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -138,6 +138,7 @@
 
         private suspend fun attempt(replica: Replica): Outcome {
             val begun = clock.now()
+            request.onPassedOn(replica.id, begun)
             lastEventAt = null
             val from = lastId
             val outgoing = request.outgoing(begun, from.takeIf { it > 0 })
