Close callers' connections before a drain ends

What callers saw: at a planned stop an answer could end early, or a request that the instance had read could end without an answer, although the drain reported no call as cut.

Cause: a drain looked at the handlers that were running. It did not see a request that the socket had read and no handler had begun, nor the bytes of an answer that its handler had left to the socket; and nothing closed kept connections, so requests were read until the process ended. `Connection: close` was missing on answers whose call had begun before the stop, and the server did not close a connection that it had announced to close.

Change: a drain counts requests from the reading of their head until their last byte is written to the socket. Once a stop begins, each response says that it is the last of its connection, and the server closes the connection after it. Idle connections are closed after the balancer's notice, on their event loop, after it has read what has arrived. When all is quiet the listeners and then all connections are closed, so no request can be read after that.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.ChannelPromise
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
@@ -47,6 +49,10 @@
     internal val listeners: MutableSet<Channel> = ConcurrentHashMap.newKeySet()
     private val arrivalCount = AtomicLong()
 
+    /** True if each response is the last of its connection: it says so, and the connection is closed after it. */
+    @Volatile
+    public var closeAfterResponse: Boolean = false
+
     /** Number of open connections. */
     public val count: Int get() = open.size
 
@@ -90,9 +96,12 @@
         listeners.forEach { it.close().syncUninterruptibly() }
     }
 
-    /** Closes the connections without a request in flight. */
-    public fun closeIdle() {
-        open.filter { it.requests == 0 }.forEach { it.close() }
+    /**
+     * Closes the connections without a request in flight, after reading what they have received. New connections whose
+     * first request may still be in transit stay open if [spareUnused] is true.
+     */
+    public fun closeIdle(spareUnused: Boolean = false) {
+        open.forEach { it.closeIfIdle(spareUnused) }
     }
 
     private inner class Tracker : ChannelDuplexHandler() {
@@ -106,6 +115,7 @@
 
         @Volatile
         private var used = false
+        private var closing = false
 
         @Volatile
         private var newest: ReadRequest? = null
@@ -139,7 +149,8 @@
 
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             val interim = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
-            if (message is LastHttpContent && !interim) promise.addListener { requests-- }
+            if (message is HttpResponse && !interim) announceClose(message)
+            if (message is LastHttpContent && !interim) promise.addListener { responseSent(context) }
             if (message is LastHttpContent && context.channel().hasAttr(BROKEN_OFF)) {
                 context.flush()
                 context.close(promise)
@@ -148,12 +159,26 @@
             super.write(context, message, promise)
         }
 
+        /** A pipelined request is answered before the connection is closed. */
+        private fun announceClose(response: HttpResponse) {
+            closing = closeAfterResponse && requests == 1
+            if (closing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+        }
+
+        private fun responseSent(context: ChannelHandlerContext) {
+            requests--
+            if (closing && requests == 0) context.close()
+        }
+
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
             if (event is IdleStateEvent && requests == 0) context.close() else super.userEventTriggered(context, event)
         }
 
-        fun close() {
-            channel?.close()
+        /** Runs in a later iteration of the event loop, which reads before it runs tasks. */
+        fun closeIfIdle(spareUnused: Boolean) {
+            val target = channel ?: return
+            val closeIfIdle = { if (requests == 0 && !(spareUnused && awaitsFirstRequest)) target.close() }
+            target.eventLoop().schedule(closeIfIdle, 1, TimeUnit.MILLISECONDS)
         }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -33,6 +33,7 @@
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
 import dev.vanillarun.hosted.front.CallCounter
+import dev.vanillarun.hosted.front.CallerDrain
 import dev.vanillarun.hosted.front.DrainReport
 import dev.vanillarun.hosted.front.FrontServer
 import dev.vanillarun.hosted.front.JobEndpoint
@@ -184,6 +185,7 @@
         events = events,
     )
     private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader)
+    private val callerDrain = CallerDrain(connections)
     private val drainReport = DrainReport(connections, callCounter, clock, events)
     private val servers = mutableListOf<HttpServer>()
 
@@ -262,29 +264,32 @@
 
     /**
      * Drains this instance within the grace period: fails the readiness probe, releases the duty and the slots, and
-     * serves calls until no more arrive and none is in progress, so that no call is cut off. The events
-     * `drain.call_cut` and `drain.ended` report the calls that were still in progress when the grace period ended.
+     * serves calls until no more arrive and none is in progress, and then closes all connections, so that no call is
+     * cut off when the process ends. The events `drain.call_cut` and `drain.ended` report the calls that were still in
+     * progress when the grace period ended.
      */
     public suspend fun drain() {
         stopping = true
-        callCounter.closeConnections = true
         events.record("drain.started")
         val grace = settings.hosting.graceS.seconds - EXIT_MARGIN
         withTimeoutOrNull(grace) {
             launch { duty.stop(HANDOVER_TIMEOUT) }
             launch { slots.leave() }
             runner.stopAccepting()
-            delay(minOf(BALANCER_NOTICE, grace / 2))
-            var seenArrivals = -1L
-            while (callCounter.inProgress > 0 || callCounter.arrivals != seenArrivals || runner.inProgress > 0) {
-                seenArrivals = callCounter.arrivals
-                delay(IDLE_CHECK_INTERVAL)
+            withTimeoutOrNull(grace - CLOSE_TIME) {
+                callerDrain.awaitQuiet(minOf(BALANCER_NOTICE, grace / 2)) { runner.inProgress > 0 }
             }
+            callerDrain.close()
             usageMeter.flush()
         }
         drainReport.record()
     }
 
+    /** Closes the servers and all their connections at once, as the end of the process does. */
+    public fun closeServers() {
+        servers.forEach { it.stop() }
+    }
+
     private companion object {
         /** Indices in the list of servers, which are started in this order. */
         const val CALLER_SERVER = 0
@@ -312,7 +317,9 @@
 
         /** Time for the load balancer to notice the drain: two probes, one per second, and the network latency. */
         val BALANCER_NOTICE = 2500.milliseconds
-        val IDLE_CHECK_INTERVAL = 300.milliseconds
+
+        /** Part of the grace period in which the connections are closed. */
+        val CLOSE_TIME = 300.milliseconds
         val HANDOVER_TIMEOUT = 1.seconds
 
         /** Part of the grace period reserved for the exit of the process. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
@@ -4,7 +4,6 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /** When and to which target a call was last passed on. */
@@ -23,7 +22,6 @@
 /** Counts calls for the metrics and for a drain, which waits until no call is in progress. */
 internal class CallCounter(private val metrics: DaemonMetrics) {
     private val open = ConcurrentHashMap.newKeySet<TrackedCall>()
-    private val arrivedCalls = AtomicLong()
 
     /** Number of calls in progress. */
     val inProgress: Int get() = open.size
@@ -31,13 +29,6 @@
     /** Calls in progress. */
     val calls: Set<TrackedCall> get() = open
 
-    /** Number of calls received since the start, including those in progress. */
-    val arrivals: Long get() = arrivedCalls.get()
-
-    /** True from the start of a drain: responses then carry `Connection: close`. */
-    @Volatile
-    var closeConnections: Boolean = false
-
     init {
         metrics.gauge("vanillarun_requests_in_progress", "Calls in progress.") { inProgress.toDouble() }
     }
@@ -45,7 +36,6 @@
     /** Runs [call] with request id [id] and counts it as in progress until it returns or throws. */
     suspend fun track(id: String?, call: suspend (TrackedCall) -> Unit) {
         val tracked = TrackedCall(id)
-        arrivedCalls.incrementAndGet()
         open += tracked
         try {
             call(tracked)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -92,7 +92,6 @@
         val head = RequestHead(call.request.httpMethod.value, call.request.uri, call.request.headers)
         val metadata = dialect.metadata(head)
         metadata.id?.let { call.response.header(dialect.idHeader, it) }
-        if (calls.closeConnections) call.response.header(HttpHeaders.Connection, "close")
         val body = call.receive<ByteArray>()
         val reply = handleAndRespond(call, IncomingRequest(head, metadata, body, received, tracked))
         val elapsed = clock.now() - received
