Refuse calls that may outlast a drain, and answer those in progress before its end

What callers saw: a call that an instance had passed on during a planned stop ended without an answer.

Cause: until its end, a drain took every call like any other, also one whose deadline lay beyond the end, and the calls in progress were cut with the process.

Change: once the balancer had time to notice, a call is admitted only if its deadline is before the end of service; any other is refused as not run. Calls in progress at the end of service are answered with 504, which promises nothing; a stream that has begun is broken off. After the drain is quiet, nothing is admitted. The notice is no longer shortened to half of a small grace period, as calls are not served without limit after it any more.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -32,6 +32,7 @@
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
+import dev.vanillarun.hosted.front.CallAdmission
 import dev.vanillarun.hosted.front.CallCounter
 import dev.vanillarun.hosted.front.CallerDrain
 import dev.vanillarun.hosted.front.DrainReport
@@ -83,6 +84,7 @@
     private val writer = "${settings.instance}.${incarnation.value}"
     private val metrics = DaemonMetrics()
     private val callCounter = CallCounter(metrics)
+    private val admission = CallAdmission()
     private val supervisor = ComponentSupervisor(scope, events, metrics)
 
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events)
@@ -181,11 +183,12 @@
         jobs = JobEndpoint(ports.callers, board, jobAppender, writer, wallClock),
         usage = usageMeter,
         calls = callCounter,
+        admission = admission,
         clock = clock,
         events = events,
     )
     private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader)
-    private val callerDrain = CallerDrain(connections)
+    private val callerDrain = CallerDrain(connections, admission, clock)
     private val drainReport = DrainReport(connections, callCounter, clock, events)
     private val servers = mutableListOf<HttpServer>()
 
@@ -265,7 +268,8 @@
     /**
      * Drains this instance within the grace period: fails the readiness probe, releases the duty and the slots, and
      * serves calls until no more arrive and none is in progress, and then closes all connections, so that no call is
-     * cut off when the process ends. The events `drain.call_cut` and `drain.ended` report the calls that were still in
+     * cut off when the process ends. A call that might outlast the drain is refused as not run once the load balancer
+     * had time to notice; one that began earlier is answered as timed out before the end. The events `drain.call_cut` and `drain.ended` report the calls that were still in
      * progress when the grace period ended.
      */
     public suspend fun drain() {
@@ -276,10 +280,9 @@
             launch { duty.stop(HANDOVER_TIMEOUT) }
             launch { slots.leave() }
             runner.stopAccepting()
-            withTimeoutOrNull(grace - CLOSE_TIME) {
-                callerDrain.awaitQuiet(minOf(BALANCER_NOTICE, grace / 2)) { runner.inProgress > 0 }
-            }
-            callerDrain.close()
+            val serviceTime = grace - CLOSE_TIME
+            callerDrain.finishCalls(minOf(BALANCER_NOTICE, serviceTime), serviceTime) { runner.inProgress > 0 }
+            callerDrain.closeConnections()
             usageMeter.flush()
         }
         drainReport.record()
@@ -318,7 +321,7 @@
         /** Time for the load balancer to notice the drain: two probes, one per second, and the network latency. */
         val BALANCER_NOTICE = 2500.milliseconds
 
-        /** Part of the grace period in which the connections are closed. */
+        /** Part of the grace period in which calls are cut off and connections closed. */
         val CLOSE_TIME = 300.milliseconds
         val HANDOVER_TIMEOUT = 1.seconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -39,6 +39,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** A caller's request with its complete body. */
@@ -76,6 +77,7 @@
     private val jobs: JobEndpoint,
     private val usage: UsageMeter,
     private val calls: CallCounter,
+    private val admission: CallAdmission,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
@@ -111,7 +113,7 @@
     /** Handles [request], sends the response and returns it; the events of a stream are sent as they arrive. */
     private suspend fun handleAndRespond(call: ApplicationCall, request: IncomingRequest): Reply = coroutineScope {
         val stream = CallerStream(call, this)
-        val reply = reply(request, CallerSink(stream))
+        val reply = admission.untilCutOff { reply(request, CallerSink(stream)) } ?: cutOff(stream)
         when (reply.stream) {
             null -> call.send(reply)
             StreamEnd.COMPLETE -> stream.finish()
@@ -120,12 +122,18 @@
         reply
     }
 
+    /** The target may have run the request, and an open [stream] is incomplete. */
+    private fun cutOff(stream: CallerStream): Reply {
+        val reason = "the instance stops"
+        return if (stream.isOpen) Reply(OK, reason, stream = StreamEnd.ABORTED) else Reply(GATEWAY_TIMEOUT, reason)
+    }
+
     private suspend fun reply(request: IncomingRequest, sink: StreamSink): Reply {
         val currentCatalog = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY_AFTER)
         return when (val operation = dialect.call(request.head)) {
             is CallerCall.Malformed -> Reply(BAD_REQUEST, "malformed: ${operation.message}")
             CallerCall.Request -> handleRouteRequest(currentCatalog, request, sink)
-            else -> handleJobCall(operation, currentCatalog, request.metadata)
+            else -> handleJobCall(operation, currentCatalog, request)
         }
     }
 
@@ -139,6 +147,8 @@
 
             route == null -> reject(NoRoute, currentCatalog) { handleRouteRequest(it, request, sink) }
 
+            !admission.admits(request.deadline(route)) -> Stopping
+
             route.kind == RequestKind.ROLLOUT ->
                 jobs.submit(request.head, metadata, route, authorization.customer, request.body)
 
@@ -146,14 +156,16 @@
         }
     }
 
-    private suspend fun handleJobCall(operation: CallerCall, currentCatalog: Catalog, metadata: CallMetadata): Reply {
-        val customer = when (val authorization = currentCatalog.authorize(null, metadata.key)) {
-            is KeyDecision.Allowed -> authorization.customer
+    private suspend fun handleJobCall(operation: CallerCall, currentCatalog: Catalog, request: IncomingRequest): Reply {
+        val authorization = currentCatalog.authorize(null, request.metadata.key)
+        return when {
+            !admission.admits(request.received + operation.longest) -> Stopping
+
+            authorization !is KeyDecision.Allowed ->
+                reject(UnknownKey, currentCatalog) { handleJobCall(operation, it, request) }
 
-            KeyDecision.Unknown ->
-                return reject(UnknownKey, currentCatalog) { handleJobCall(operation, it, metadata) }
+            else -> jobs.handle(operation, authorization.customer)
         }
-        return jobs.handle(operation, customer)
     }
 
     /**
@@ -187,12 +199,18 @@
         route = route,
         customer = customer,
         received = received,
-        deadline = received + minOf(metadata.timeLeft ?: Duration.INFINITE, route.timeout),
+        deadline = deadline(route),
         resumeAfter = metadata.resumeAfter.takeIf { route.resumable },
         onPassedOn = { target, at -> tracked.passedOn = PassedOn(target, at) },
         onRunning = { since -> customer?.let { usage.count(it.id, since) } },
     )
 
+    private fun IncomingRequest.deadline(route: CatalogRoute): Instant =
+        received + minOf(metadata.timeLeft ?: Duration.INFINITE, route.timeout)
+
+    private val CallerCall.longest: Duration
+        get() = MAX_JOB_CALL_TIME + if (this is CallerCall.Results) wait else Duration.ZERO
+
     /** Short enough for another attempt within the objective, long enough for a slot to become free. */
     private fun retryAfter(route: CatalogRoute): Duration = route.objective / RETRIES_IN_OBJECTIVE
 
@@ -207,6 +225,7 @@
     }
 
     private companion object {
+        const val OK = 200
         const val FIRST_ERROR = 400
         const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
@@ -218,6 +237,12 @@
         val NoRoute = Reply(NOT_FOUND, "no route")
         val NOT_READY_RETRY_AFTER = 300.milliseconds
 
+        /** Without delay, as the retry reaches another instance. */
+        val Stopping = Reply.notRun("the instance stops", 50.milliseconds)
+
+        /** Longest time of a call for a job, without the wait for results. */
+        val MAX_JOB_CALL_TIME = 3.seconds
+
         /** Short, as another instance may have the current catalog already. */
         val STALE_CATALOG_RETRY_AFTER = 50.milliseconds
     }
