--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -269,8 +269,8 @@
      * Drains this instance within the grace period: fails the readiness probe, releases the duty and the slots, and
      * serves calls until no more arrive and none is in progress, and then closes all connections, so that no call is
      * cut off when the process ends. A call that might outlast the drain is refused as not run once the load balancer
-     * had time to notice; one that began earlier is answered as timed out before the end. The events `drain.call_cut` and `drain.ended` report the calls that were still in
-     * progress when the grace period ended.
+     * had time to notice; one that began earlier is answered as timed out before the end. The events `drain.call_cut`
+     * and `drain.ended` report the calls that were still in progress when the grace period ended.
      */
     public suspend fun drain() {
         stopping = true
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/DrainReport.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/DrainReport.kt
@@ -13,7 +13,7 @@
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
-    /** Records `drain.call_cut` for the calls that the end of the process cuts, at most [MAX_CALLS], then `drain.ended`. */
+    /** Records `drain.call_cut` for at most [MAX_CALLS] calls that the end of the process cuts, then `drain.ended`. */
     fun record() {
         val unanswered = connections.unanswered(MAX_CALLS)
         val inProgress = calls.calls.toList()
