--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.ChannelPromise
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
@@ -20,15 +22,37 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.coroutines.resume
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Tracks the connections of callers: limits their number, closes idle ones, and supports a graceful drain. */
-public class Connections(private val maxConnections: Int, private val idleSeconds: Long = 120) {
+/** A request that was read and whose response has not completely left this process. */
+public data class UnansweredRequest(
+    /** Value of the request id header; null if the request has none. */
+    public val id: String?,
+    /** Time since the head of the request was read. */
+    public val age: Duration,
+    /** Bytes of the response that wait to be written to the socket. */
+    public val unflushedBytes: Long,
+)
+
+/**
+ * Tracks the connections of callers: limits their number, closes idle ones, and supports a graceful drain.
+ * [idHeader] is the name of the request header with the id by which [unanswered] reports requests.
+ */
+public class Connections(
+    private val maxConnections: Int,
+    private val idleSeconds: Long = 120,
+    private val idHeader: String? = null,
+) {
     private val open = ConcurrentHashMap.newKeySet<Tracker>()
     internal val listeners: MutableSet<Channel> = ConcurrentHashMap.newKeySet()
     private val arrivalCount = AtomicLong()
 
+    /** True if each response is the last of its connection: it says so, and the connection is closed after it. */
+    @Volatile
+    public var closeAfterResponse: Boolean = false
+
     /** Number of open connections. */
     public val count: Int get() = open.size
 
@@ -41,6 +65,10 @@
     /** Number of new connections whose first request may still be in transit. */
     public val unused: Int get() = open.count { it.awaitsFirstRequest }
 
+    /** Requests whose response has not completely left this process; the newest of each connection, at most [limit]. */
+    public fun unanswered(limit: Int): List<UnansweredRequest> =
+        open.asSequence().mapNotNull { it.unanswered() }.take(limit).toList()
+
     /** Adds the idle timeout and the tracking handler to the pipeline of a newly accepted connection. */
     public fun track(pipeline: ChannelPipeline) {
         pipeline.addFirst(IdleStateHandler(0, 0, idleSeconds, TimeUnit.SECONDS))
@@ -68,9 +96,12 @@
         listeners.forEach { it.close().syncUninterruptibly() }
     }
 
-    /** Closes the connections without a request in flight. */
-    public fun closeIdle() {
-        open.filter { it.requests == 0 }.forEach { it.close() }
+    /**
+     * Closes the connections without a request in flight, after reading what they have received. New connections whose
+     * first request may still be in transit stay open if [spareUnused] is true.
+     */
+    public fun closeIdle(spareUnused: Boolean = false) {
+        open.forEach { it.closeIfIdle(spareUnused) }
     }
 
     private inner class Tracker : ChannelDuplexHandler() {
@@ -84,6 +115,10 @@
 
         @Volatile
         private var used = false
+        private var closing = false
+
+        @Volatile
+        private var newest: ReadRequest? = null
         private val openedAt = TimeSource.Monotonic.markNow()
 
         val awaitsFirstRequest: Boolean get() = !used && openedAt.elapsedNow() < FIRST_REQUEST_TIMEOUT
@@ -96,11 +131,17 @@
         }
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is HttpRequest) requestStarted()
+            if (message is HttpRequest) requestStarted(message)
             super.channelRead(context, message)
         }
 
-        private fun requestStarted() {
+        fun unanswered(): UnansweredRequest? = newest?.takeIf { requests > 0 }?.let { request ->
+            val unflushed = channel?.unsafe()?.outboundBuffer()?.totalPendingWriteBytes() ?: 0
+            UnansweredRequest(request.id, request.at.elapsedNow(), unflushed)
+        }
+
+        private fun requestStarted(request: HttpRequest) {
+            newest = ReadRequest(idHeader?.let { request.headers()[it] }, TimeSource.Monotonic.markNow())
             requests++
             used = true
             arrivalCount.incrementAndGet()
@@ -108,7 +149,8 @@
 
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             val interim = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
-            if (message is LastHttpContent && !interim) promise.addListener { requests-- }
+            if (message is HttpResponse && !interim) announceClose(message)
+            if (message is LastHttpContent && !interim) promise.addListener { responseSent(context) }
             if (message is LastHttpContent && context.channel().hasAttr(BROKEN_OFF)) {
                 context.flush()
                 context.close(promise)
@@ -117,15 +159,31 @@
             super.write(context, message, promise)
         }
 
+        /** A pipelined request is answered before the connection is closed. */
+        private fun announceClose(response: HttpResponse) {
+            closing = closeAfterResponse && requests == 1
+            if (closing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+        }
+
+        private fun responseSent(context: ChannelHandlerContext) {
+            requests--
+            if (closing && requests == 0) context.close()
+        }
+
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
             if (event is IdleStateEvent && requests == 0) context.close() else super.userEventTriggered(context, event)
         }
 
-        fun close() {
-            channel?.close()
+        /** Runs in a later iteration of the event loop, which reads before it runs tasks. */
+        fun closeIfIdle(spareUnused: Boolean) {
+            val target = channel ?: return
+            val closeIfIdle = { if (requests == 0 && !(spareUnused && awaitsFirstRequest)) target.close() }
+            target.eventLoop().schedule(closeIfIdle, 1, TimeUnit.MILLISECONDS)
         }
     }
 
+    private class ReadRequest(val id: String?, val at: TimeSource.Monotonic.ValueTimeMark)
+
     private companion object {
         /** Name of the HTTP codec in the pipeline, as set by Ktor's Netty engine. */
         const val CODEC = "codec"
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -34,7 +34,10 @@
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
+import dev.vanillarun.hosted.front.CallAdmission
 import dev.vanillarun.hosted.front.CallCounter
+import dev.vanillarun.hosted.front.CallerDrain
+import dev.vanillarun.hosted.front.DrainReport
 import dev.vanillarun.hosted.front.FrontServer
 import dev.vanillarun.hosted.front.JobEndpoint
 import dev.vanillarun.hosted.job.JobBoard
@@ -84,6 +87,7 @@
     private val writer = "${settings.instance}.${incarnation.value}"
     private val metrics = DaemonMetrics()
     private val callCounter = CallCounter(metrics)
+    private val admission = CallAdmission()
     private val supervisor = ComponentSupervisor(scope, events, metrics)
 
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events)
@@ -184,9 +188,13 @@
         jobs = JobEndpoint(ports.callers, board, jobAppender, writer, wallClock),
         usage = usageMeter,
         calls = callCounter,
+        admission = admission,
         clock = clock,
         events = events,
     )
+    private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader)
+    private val callerDrain = CallerDrain(connections, admission, clock)
+    private val drainReport = DrainReport(connections, callCounter, clock, events)
     private val servers = mutableListOf<HttpServer>()
 
     init {
@@ -216,8 +224,7 @@
      * been read.
      */
     public suspend fun start() {
-        servers +=
-            HttpServer.start(settings.callerAddress, Connections(MAX_CALLER_CONNECTIONS)) { frontServer.install(this) }
+        servers += HttpServer.start(settings.callerAddress, connections) { frontServer.install(this) }
         servers += HttpServer.start(settings.readyAddress) {
             routing {
                 get(ports.callers.readyPath) {
@@ -285,27 +292,30 @@
 
     /**
      * Drains this instance within the grace period: fails the readiness probe, releases the duty and the slots, and
-     * serves calls until no more arrive and none is in progress, so that no call is cut off. The event `drain.ended`
-     * has the number of calls that were still in progress when the grace period ended.
+     * serves calls until no more arrive and none is in progress, and then closes all connections, so that no call is
+     * cut off when the process ends. A call that might outlast the drain is refused as not run once the load balancer
+     * had time to notice; one that began earlier is answered as timed out before the end. The events `drain.call_cut`
+     * and `drain.ended` report the calls that were still in progress when the grace period ended.
      */
     public suspend fun drain() {
         stopping = true
-        callCounter.closeConnections = true
         events.record("drain.started")
         val grace = settings.hosting.graceS.seconds - EXIT_MARGIN
         withTimeoutOrNull(grace) {
             launch { duty.stop(HANDOVER_TIMEOUT) }
             launch { slots.leave() }
             runner.stopAccepting()
-            delay(minOf(BALANCER_NOTICE, grace / 2))
-            var seenArrivals = -1L
-            while (callCounter.inProgress > 0 || callCounter.arrivals != seenArrivals || runner.inProgress > 0) {
-                seenArrivals = callCounter.arrivals
-                delay(IDLE_CHECK_INTERVAL)
-            }
+            val serviceTime = grace - CLOSE_TIME
+            callerDrain.finishCalls(minOf(BALANCER_NOTICE, serviceTime), serviceTime) { runner.inProgress > 0 }
+            callerDrain.closeConnections()
             usageMeter.flush()
         }
-        events.record("drain.ended", EventLinks(), mapOf("cut" to "${callCounter.inProgress}"))
+        drainReport.record()
+    }
+
+    /** Closes the servers and all their connections at once, as the end of the process does. */
+    public fun closeServers() {
+        servers.forEach { it.stop() }
     }
 
     private companion object {
@@ -336,7 +346,9 @@
 
         /** Time for the load balancer to notice the drain: two probes, one per second, and the network latency. */
         val BALANCER_NOTICE = 2500.milliseconds
-        val IDLE_CHECK_INTERVAL = 300.milliseconds
+
+        /** Part of the grace period in which calls are cut off and connections closed. */
+        val CLOSE_TIME = 300.milliseconds
         val HANDOVER_TIMEOUT = 1.seconds
 
         /** Part of the grace period reserved for the exit of the process. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.CatalogCustomer
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.hosted.target.ExchangeKind
@@ -33,6 +34,8 @@
     val mayBeQuarantined: Boolean = true,
     /** Kind of the exchanges with targets. */
     val kind: ExchangeKind = if (route.kind == RequestKind.STREAM) ExchangeKind.STREAM else ExchangeKind.LIVE,
+    /** Called before each attempt, with its target. */
+    val onPassedOn: (target: TargetId, at: Instant) -> Unit = { _, _ -> },
     private val onRunning: (since: Instant) -> Unit = {},
 ) {
     private val running = AtomicBoolean()
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -88,14 +88,20 @@
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> = when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
         is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
+
         is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
+
         is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
+
         is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
+
         is Behaviour.MismatchedResponse ->
             ExchangeResult.Answered(handle(answer(behaviour.status, "other", notRun = false)))
 
         Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
+
         Behaviour.Silence -> awaitCancellation()
+
         Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
     }
 
