Record a result again that the store confirmed and then lost

Callers saw (in tests only): an item whose result was recorded was never listed, and nobody ran it again. Cause: a confirmed result left its item out of all further scheduling until the item was listed. A store whose history is rewound may lose a record that it has confirmed. Change: a result is recorded again once the view of the jobs has read the end of the topic 1.5 s after the store confirmed it, and still does not list it. The item is neither run nor scored again. The second record has a key of its own, so that compaction keeps the position of the first one if it appears after all. It costs the text of each result in memory for the time until it is listed; no call of the store unless a result was lost.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobId
 import dev.vanillarun.core.job.JobView
@@ -11,6 +12,7 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Key of an item in one job; the same item may return in a later job. */
 internal data class RunKey(val job: JobId, val item: ItemId)
@@ -23,6 +25,9 @@
     val since: Instant,
 )
 
+/** A [result] that the store confirmed by [at], in the record of its [attempt], 0 for the first. */
+internal class RecordedResult(val task: SampleTask, val result: ItemResult, val attempt: Int, val at: Instant)
+
 /** Runs, conclusions and progress of the items of this instance; confined to the thread of the [JobRunner]. */
 internal class ItemTable(private val clock: MonotonicClock) {
     /** Work in progress. */
@@ -31,8 +36,8 @@
     /** Progress by item, in the order in which the items were first due. */
     val progress = LinkedHashMap<ItemId, ItemProgress>()
 
-    /** Items whose result was recorded but is not listed yet. */
-    val concluded = HashSet<RunKey>()
+    /** Results that the store confirmed but that are not listed yet. */
+    val concluded = HashMap<RunKey, RecordedResult>()
     private val groups = HashMap<JobId, Map<String, Int>>()
 
     /** Number of runs at each engine; engines without any are absent. */
@@ -45,7 +50,7 @@
             run.work.cancel()
             running.remove(key)
         }
-        concluded.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
+        concluded.keys.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
         groups.keys.retainAll { it in open }
         evictClosed(views)
     }
@@ -58,6 +63,16 @@
         closed.take((closed.size - MAX_CLOSED_ITEMS).coerceAtLeast(0)).forEach(progress::remove)
     }
 
+    /**
+     * Removes and returns the results that a view of the jobs as of [viewAt] should list and does not. The store may
+     * lose records that it has confirmed, when its history is rewound.
+     */
+    fun takeLost(viewAt: Instant): List<RecordedResult> {
+        val lost = concluded.filterValues { viewAt - it.at >= VISIBILITY_DELAY }
+        lost.keys.forEach(concluded::remove)
+        return lost.values.toList()
+    }
+
     /** Items of [view], a job on [route], that may be sent to an engine now. */
     fun waiting(view: JobView, route: CatalogRoute): List<WaitingItem> {
         val job = view.job ?: return emptyList()
@@ -95,6 +110,9 @@
     }
 
     private companion object {
+        /** Time after which a confirmed record is visible to all readers, with a margin of half. */
+        val VISIBILITY_DELAY = 1500.milliseconds
+
         /** Items whose progress is kept for later jobs: about a minute of work of the whole fleet. */
         const val MAX_CLOSED_ITEMS = 8192
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -12,6 +12,7 @@
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -105,8 +106,10 @@
     }
 
     private fun schedule(scope: CoroutineScope) {
+        val viewAt = inputs.board.follower.state.value.caughtUpAt // before the table, which may be newer
         val open = inputs.board.table.value.jobs.values.filter { it.open }
         items.cancelClosed(open)
+        if (viewAt != null) recordLost(scope, viewAt)
         takeover.granted(inputs.slots.grant.value.slots)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
         dispatchWaiting(scope, mine)
@@ -252,9 +255,6 @@
 
             else -> record(task, ItemState.COMPLETED, transcript, (scored as? RewardResult.Scored)?.signature)
         }
-        val key = RunKey(task.job.id, task.item.id)
-        items.concluded += key
-        running.remove(key)
     }
 
     private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
@@ -266,8 +266,30 @@
             versions = if (completed) transcript.versions.sorted() else emptyList(),
             score = score,
         )
+        record(task, result, writer)
+    }
+
+    private suspend fun record(task: SampleTask, result: ItemResult, writer: String, attempt: Int = 0) {
         appender.append(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
-        recordEvent("item.recorded", task, "state" to state.name.lowercase(), "versions" to "${result.versions}")
+        val state = result.state.name.lowercase()
+        recordEvent("item.recorded", task, "state" to state, "versions" to "${result.versions}")
+        val key = RunKey(task.job.id, task.item.id)
+        items.concluded[key] = RecordedResult(task, result, attempt, clock.now())
+        running.remove(key)
+    }
+
+    /**
+     * Records results again that the store has lost. Each attempt has a writer of its own: if the first record appears
+     * after all, a second one under its key would move the result to another position when the topic is compacted.
+     */
+    private fun recordLost(scope: CoroutineScope, viewAt: Instant) {
+        items.takeLost(viewAt).forEach { lost ->
+            val task = lost.task
+            val attempt = lost.attempt + 1
+            recordEvent("item.record_lost", task, "attempt" to "$attempt")
+            val work = scope.launch { guarded(task) { record(task, lost.result, "$writer.$attempt", attempt) } }
+            running[RunKey(task.job.id, task.item.id)] = ActiveRun(work, engine = null, task, clock.now())
+        }
     }
 
     private fun recordEvent(name: String, task: SampleTask, vararg attributes: Pair<String, String>) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -28,6 +28,9 @@
 
     /** Not appended, and the writer receives no response. */
     REQUEST_LOST,
+
+    /** Confirmed and then lost, as after a rewind of the store's history. */
+    FORGOTTEN,
 }
 
 /** In-memory store with topics, deduplication by producer sequence, expiry and outages. */
@@ -78,8 +81,9 @@
         if (!up) return TopicAppendResult.InDoubt("down")
         val outcome = outcomes.removeFirstOrNull() ?: AppendOutcome.DONE
         if (outcome == AppendOutcome.DONE || outcome == AppendOutcome.RESPONSE_LOST) write(topic, records, identity)
+        if (outcome == AppendOutcome.FORGOTTEN) write(topic, emptyList(), identity)
         return when (outcome) {
-            AppendOutcome.DONE -> TopicAppendResult.Done
+            AppendOutcome.DONE, AppendOutcome.FORGOTTEN -> TopicAppendResult.Done
             AppendOutcome.REFUSED -> TopicAppendResult.Refused("busy")
             AppendOutcome.RESPONSE_LOST, AppendOutcome.REQUEST_LOST -> TopicAppendResult.InDoubt("no answer")
         }
