Bound the time that an item is at no engine while engines have room

Callers saw (in tests only): after a burst of crashes under the same items, all calm and the engines free, the items were at no engine for up to 3.9 s; with long runs on the engines that had broken an item off, for 8.7 s. Cause: back-offs of items (2 s) and engines (4 s) hold to their end, whether or not the engine has recovered, unless its new announcement is read. And an engine with a failure takes one run at a time, in which runs from before the failure counted: until the last of them ended, it was taken for full, though it went on answering them. Change: an item that has been at no engine for 1 s, while most slots are free, tries the engine that failed first, from 500 ms after its last failure. After a failure one new run at a time is allowed beside those from before it. The back-off of an item ends at 1 s. Attempts at engines that stay dead are bounded by the engines, not by the items: two a second each, and none while most slots of the others are taken. TargetObservations names the time of the last failure.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -5,9 +5,12 @@
 import dev.vanillarun.core.placement.EngineLoad
 import dev.vanillarun.core.placement.chooseEngine
 import dev.vanillarun.core.placement.fasterEngine
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.target.TargetTracker
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Result of [EngineSelector.choose]. */
 internal sealed interface EngineChoice {
@@ -23,20 +26,30 @@
     }
 }
 
-/** Selects engines for samples. An engine with failures gets one run at a time until it responds again. */
+/**
+ * Selects engines for samples. An engine with failures gets one new run at a time until it responds again, and none
+ * during its backoff unless an item is overdue.
+ */
 internal class EngineSelector(
     private val replicas: ReplicaSource,
     private val tracker: TargetTracker,
     private val placement: PlacementBoard,
+    private val clock: MonotonicClock,
 ) {
-    /** Returns the engine for [task], or why there is none; [running] is the number of runs at each engine. */
-    fun choose(task: SampleTask, running: Map<TargetId, Int>): EngineChoice {
+    /**
+     * Returns the engine for [task], or why there is none; [running] has the start times of the runs at each engine. If
+     * the item is [overdue] while most slots are free, an engine may be chosen before the end of its backoff, since it
+     * may have recovered.
+     */
+    fun choose(task: SampleTask, running: Map<TargetId, List<Instant>>, overdue: Boolean = false): EngineChoice {
         val listed = listed(task)
         val capable = listed.filter { isCapable(it, task) }
         val usable = capable.filter(tracker::usable)
-        val chosen = chooseEngine(usable.map { load(it, task, running) })
+        val chosen =
+            chooseEngine(usable.map { load(it, task, running) })?.let { load -> usable.first { it.id == load.id } }
+                ?: engineToProbe(capable, task, running).takeIf { overdue && isMostlyFree(capable, running) }
         return when {
-            chosen != null -> EngineChoice.Chosen(usable.first { it.id == chosen.id })
+            chosen != null -> EngineChoice.Chosen(chosen)
             listed.isEmpty() -> EngineChoice.None.NOT_LISTED
             capable.isEmpty() -> EngineChoice.None.NO_WEIGHTS
             usable.isEmpty() -> EngineChoice.None.BACKED_OFF
@@ -45,7 +58,7 @@
     }
 
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
-    fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, Int>): TargetId? {
+    fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, List<Instant>>): TargetId? {
         val engines = listed(task).filter { isCapable(it, task) && tracker.usable(it) }
         val loads = engines.map { load(it, task, running) }
         return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
@@ -58,15 +71,42 @@
         return model.isEmpty() || tracker.weights(engine, model) >= task.job.minVersion
     }
 
-    private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, Int>): EngineLoad {
+    private fun isMostlyFree(engines: List<Replica>, running: Map<TargetId, List<Instant>>): Boolean =
+        engines.sumOf { running[it.id].orEmpty().size } * 2 < engines.sumOf { it.slots }
+
+    /** The engine with a free slot that failed first, if that was long enough ago to try it again. */
+    private fun engineToProbe(
+        engines: List<Replica>,
+        task: SampleTask,
+        running: Map<TargetId, List<Instant>>,
+    ): Replica? {
+        val now = clock.now()
+        return engines.filter { engine -> tracker.of(engine).failedAt?.let { now - it >= PROBE_INTERVAL } ?: false }
+            .filter { engine -> load(engine, task, running).let { it.running < it.slots } }
+            .minByOrNull { engine -> tracker.of(engine).failedAt ?: now }
+    }
+
+    private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, List<Instant>>): EngineLoad {
         val placed = placement.placement.value.enginesOf(task.job.model)
         val observations = tracker.of(engine)
+        val runs = running[engine.id].orEmpty()
         return EngineLoad(
             id = engine.id,
-            slots = if (observations.failures > 0) 1 else engine.slots,
-            running = running[engine.id] ?: 0,
+            slots = if (observations.failures > 0) slotsAfterFailure(engine, runs) else engine.slots,
+            running = runs.size,
             pace = observations.meanLatency,
             placed = placed.isEmpty() || engine.id in placed,
         )
     }
+
+    /** Leaves one slot free unless a run began after the failure; runs from before it may go on for long. */
+    private fun slotsAfterFailure(engine: Replica, runs: List<Instant>): Int {
+        val failedAt = tracker.of(engine).failedAt ?: return 1
+        return minOf(engine.slots, runs.count { it < failedAt } + 1)
+    }
+
+    private companion object {
+        /** Minimum time from a failure of an engine until it is tried before the end of its backoff. */
+        val PROBE_INTERVAL = 500.milliseconds
+    }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemProgress.kt
@@ -39,7 +39,7 @@
 
     private fun restarted() = ItemProgress(failures = failures, notBefore = notBefore, idleSince = idleSince)
 
-    /** Doubles the backoff for each run without progress, since the item itself may crash the engines. */
+    /** Doubles the backoff for each run without progress, since most engines may be failing. */
     private fun interrupted(received: Transcript, now: Instant): ItemProgress {
         val hasProgressed = received.lastEventNumber > transcript.lastEventNumber
         val runs = if (hasProgressed) 0 else runsWithoutProgress + 1
@@ -54,8 +54,9 @@
         /** Delay before an item resumes elsewhere, so that the previous engine sees its connection close. */
         val RESUME_BACKOFF = 30.milliseconds
 
-        val MAX_BACKOFF = 2000.milliseconds
-        const val MAX_DOUBLINGS = 7
+        /** Maximum delay, so that an item is at an engine soon after the engines have recovered. */
+        val MAX_BACKOFF = 1000.milliseconds
+        const val MAX_DOUBLINGS = 6
 
         /** Delay before an item is sent again after an engine rejected it. */
         val REJECTION_BACKOFF = 50.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -13,6 +13,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Key of an item in one job; the same item may return in a later job. */
 internal data class RunKey(val job: JobId, val item: ItemId)
@@ -40,8 +41,12 @@
     val concluded = HashMap<RunKey, RecordedResult>()
     private val groups = HashMap<JobId, Map<String, Int>>()
 
-    /** Number of runs at each engine; engines without any are absent. */
-    fun runs(): Map<TargetId, Int> = running.values.mapNotNull { it.engine }.groupingBy { it }.eachCount()
+    /** Start times of the runs at each engine; engines without any are absent. */
+    fun runs(): Map<TargetId, List<Instant>> =
+        running.values.filter { it.engine != null }.groupBy({ checkNotNull(it.engine) }, { it.since })
+
+    /** True if [item] has been at no engine for so long that an engine should be tried before its backoff ends. */
+    fun isOverdue(item: ItemId): Boolean = progress[item]?.idleSince?.let { clock.now() - it >= MAX_IDLE_TIME } ?: false
 
     /** Cancels runs whose item has a result. Runs survive the loss of their slot: a new owner starts from scratch. */
     fun cancelClosed(views: List<JobView>) {
@@ -110,6 +115,9 @@
     }
 
     private companion object {
+        /** Time at no engine after which an item is overdue, a fraction of the time that the longest backoff takes. */
+        val MAX_IDLE_TIME = 1.seconds
+
         /** Time after which a confirmed record is visible to all readers, with a margin of half. */
         val VISIBILITY_DELAY = 1500.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -63,7 +63,7 @@
 ) {
     private enum class Conclusion { SCORE, ABORT }
 
-    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement)
+    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, clock)
     private val unplaced = UnplacedItems(clock, events)
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
@@ -132,7 +132,13 @@
         val route = route(job) ?: return "no route"
         items.reasonNotDue(RunKey(job.id, item.id))?.let { return it }
         if (!accepting) return "this instance is stopping"
-        return when (val choice = engines.choose(SampleTask(job, item, route), items.runs())) {
+        return when (
+            val choice = engines.choose(
+                SampleTask(job, item, route),
+                items.runs(),
+                items.isOverdue(item.id),
+            )
+        ) {
             is EngineChoice.Chosen -> "not dispatched yet"
             is EngineChoice.None -> choice.description
         }
@@ -165,7 +171,8 @@
             running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
-        val engine = (engines.choose(task, items.runs()) as? EngineChoice.Chosen)?.engine ?: return
+        val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
+        val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
         takeover.itemSent(inputs.slots.slotOf(job.subject))
         running[key] = ActiveRun(work, engine.id, task, clock.now())
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
@@ -22,6 +22,8 @@
     public val loadReportedAt: Instant? = null,
     /** Number of consecutive failures. */
     public val failures: Int = 0,
+    /** Time of the last failure; null if there was none. */
+    public val failedAt: Instant? = null,
     /** Number of consecutive rejections for lack of capacity. */
     public val refusals: Int = 0,
     /** End of the backoff; null if there is none. */
@@ -75,7 +77,7 @@
     /** Backs off from [replica] after it disconnected, stalled or was unreachable. */
     public fun failed(replica: Replica): Unit = change(replica) {
         val backoff = minOf(INITIAL_BACKOFF * (1 shl it.failures.coerceAtMost(MAX_DOUBLINGS)), MAX_BACKOFF)
-        it.copy(failures = it.failures + 1, avoidUntil = clock.now() + backoff)
+        it.copy(failures = it.failures + 1, failedAt = clock.now(), avoidUntil = clock.now() + backoff)
     }
 
     /** Backs off from [replica] after it rejected a request for lack of capacity or during a weight load. */
