--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobRecordCodec.kt
@@ -7,8 +7,8 @@
  * Converts job records to and from the keyed records of the store.
  *
  * Items and texts have the first keys in the order of the store, so that a reader can begin after them. The key of a
- * result includes its writer, so that compaction never replaces the result of one run with that of another and the first
- * result in the log stays the first.
+ * result includes its writer, so that compaction never replaces the result of one run with that of another and the
+ * first result in the log stays the first.
  */
 public object JobRecordCodec {
     private const val SUBMITTED = "job"
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -13,6 +13,7 @@
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -66,7 +67,8 @@
 ) {
     private enum class Conclusion { SCORE, ABORT }
 
-    private val engines = EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures)
+    private val engines =
+        EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures, clock)
     private val unplaced = UnplacedItems(clock, events)
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
@@ -111,8 +113,10 @@
     }
 
     private fun schedule(scope: CoroutineScope) {
+        val viewAt = inputs.board.follower.state.value.caughtUpAt // before the table, which may be newer
         val open = inputs.board.table.value.jobs.values.filter { it.open }
         items.cancelClosed(open)
+        if (viewAt != null) recordLost(scope, viewAt)
         takeover.granted(inputs.slots.grant.value.slots)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
         val (loaded, others) = mine.partition { it.job?.loaded == true }
@@ -137,7 +141,13 @@
         val route = route(job) ?: return "no route"
         items.reasonNotDue(RunKey(job.id, item.id))?.let { return it }
         if (!accepting) return "this instance is stopping"
-        return when (val choice = engines.choose(SampleTask(job, item, route), items.runs())) {
+        return when (
+            val choice = engines.choose(
+                SampleTask(job, item, route),
+                items.runs(),
+                items.isOverdue(item.id),
+            )
+        ) {
             is EngineChoice.Chosen -> "not dispatched yet"
             is EngineChoice.None -> choice.description
         }
@@ -181,7 +191,8 @@
             running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
-        val engine = (engines.choose(task, items.runs()) as? EngineChoice.Chosen)?.engine ?: return
+        val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
+        val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
         takeover.itemSent(inputs.slots.slotOf(job.subject))
         running[key] = ActiveRun(work, engine.id, task, clock.now())
@@ -271,9 +282,6 @@
 
             else -> record(task, ItemState.COMPLETED, transcript, (scored as? RewardResult.Scored)?.signature)
         }
-        val key = RunKey(task.job.id, task.item.id)
-        items.concluded += key
-        running.remove(key)
     }
 
     private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
@@ -285,8 +293,30 @@
             versions = if (completed) transcript.versions.sorted() else emptyList(),
             score = score,
         )
+        record(task, result, writer)
+    }
+
+    private suspend fun record(task: SampleTask, result: ItemResult, writer: String, attempt: Int = 0) {
         appender.append(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
-        recordEvent("item.recorded", task, "state" to state.name.lowercase(), "versions" to "${result.versions}")
+        val state = result.state.name.lowercase()
+        recordEvent("item.recorded", task, "state" to state, "versions" to "${result.versions}")
+        val key = RunKey(task.job.id, task.item.id)
+        items.concluded[key] = RecordedResult(task, result, attempt, clock.now())
+        running.remove(key)
+    }
+
+    /**
+     * Records results again that the store has lost. Each attempt has a writer of its own: if the first record appears
+     * after all, a second one under its key would move the result to another position when the topic is compacted.
+     */
+    private fun recordLost(scope: CoroutineScope, viewAt: Instant) {
+        items.takeLost(viewAt).forEach { lost ->
+            val task = lost.task
+            val attempt = lost.attempt + 1
+            recordEvent("item.record_lost", task, "attempt" to "$attempt")
+            val work = scope.launch { guarded(task) { record(task, lost.result, "$writer.$attempt", attempt) } }
+            running[RunKey(task.job.id, task.item.id)] = ActiveRun(work, engine = null, task, clock.now())
+        }
     }
 
     private fun recordEvent(name: String, task: SampleTask, vararg attributes: Pair<String, String>) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -42,6 +42,9 @@
     /** Outcomes of the next appends, in order; once used up, all appends succeed. */
     val outcomes = ArrayDeque<AppendOutcome>()
 
+    /** Number of the next appends that are confirmed and then lost, as after a rewind of the store's history. */
+    var appendsToForget = 0
+
     /** False simulates an outage: appends are in doubt, reads and group calls fail. */
     @Volatile
     var up = true
@@ -80,7 +83,10 @@
         appends++
         if (!up) return TopicAppendResult.InDoubt("down")
         val outcome = outcomes.removeFirstOrNull() ?: AppendOutcome.DONE
-        if (outcome == AppendOutcome.DONE || outcome == AppendOutcome.RESPONSE_LOST) write(topic, records, identity)
+        val isForgotten = outcome == AppendOutcome.DONE && appendsToForget > 0
+        if (isForgotten) appendsToForget--
+        val written = if (isForgotten) emptyList() else records
+        if (outcome == AppendOutcome.DONE || outcome == AppendOutcome.RESPONSE_LOST) write(topic, written, identity)
         return when (outcome) {
             AppendOutcome.DONE -> TopicAppendResult.Done
             AppendOutcome.REFUSED -> TopicAppendResult.Refused("busy")
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/target/DepartureBoardTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/target/DepartureBoardTest.kt
@@ -169,7 +169,7 @@
                     { targets.behaviours["a:80"] = Behaviour.Response(500) },
                     { targets.behaviours["a:80"] = Behaviour.Response(503, notRun = true) },
                     { targets.behaviours["a:80"] = Behaviour.EventStream(breakAfter = 1) },
-                    { targets.behaviours["a:80"] = Behaviour.MismatchedResponse },
+                    { targets.behaviours["a:80"] = Behaviour.MismatchedResponse() },
                     {
                         coroutineScope {
                             launch(start = CoroutineStart.UNDISPATCHED) {
