--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ContentReader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ContentReader.kt
@@ -16,9 +16,9 @@
 /**
  * Reads items and texts of [topic] for callers, one page at a time, and passes all records of a page to [accept].
  *
- * Callers that need the same page share its read. A read goes on when its callers have given up, since its records serve
- * their next attempt: reads that end with their callers would be repeated for good once a page takes longer than a caller
- * waits.
+ * Callers that need the same page share its read. A read goes on when its callers have given up, since its records
+ * serve their next attempt: reads that end with their callers would be repeated for good once a page takes longer than
+ * a caller waits.
  */
 internal class ContentReader(
     private val log: TopicLog,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -7,7 +7,6 @@
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.ItemState
 import dev.vanillarun.core.job.Job
-import dev.vanillarun.core.job.JobId
 import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
@@ -29,7 +28,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -76,12 +74,12 @@
     private val items = ItemTable(clock)
     private val running = items.running
     private val progress = items.progress
-    private val loading = HashSet<JobId>()
+    private val loader = ItemLoader(inputs.board)
 
     /** Runs until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = withContext(confined) {
         running.clear() // left by a run that failed
-        loading.clear()
+        loader.reset()
         launch { inputs.board.table.collect { wake.trySend(Unit) } }
         launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
         launch { inputs.placement.loadCount.collect { wake.trySend(Unit) } }
@@ -120,7 +118,7 @@
         takeover.granted(inputs.slots.grant.value.slots)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
         val (loaded, others) = mine.partition { it.job?.loaded == true }
-        others.forEach { loadItems(scope, it) }
+        others.forEach { loader.load(scope, it) }
         dispatchWaiting(scope, loaded)
         if (accepting) moveFromSlowEngines()
         inProgress = running.size
@@ -153,17 +151,6 @@
         }
     }
 
-    /** Reads the items of a job that was submitted before this instance started; [run] is woken once they are there. */
-    private fun loadItems(scope: CoroutineScope, view: JobView) {
-        val id = view.job?.id ?: return
-        if (!loading.add(id)) return
-        scope.launch {
-            val read = inputs.board.findWithItems(id)
-            if (read !is LookupResult.Found) delay(LOAD_RETRY_INTERVAL)
-            loading.remove(id)
-        }
-    }
-
     private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
         val waiting = mine.flatMap { view -> view.job?.let(::route)?.let { items.waiting(view, it) }.orEmpty() }
             .sortedWith(ItemOrder)
@@ -334,9 +321,6 @@
         /** Delay after an unexpected error of a run, which most probably comes again. */
         val FAILURE_BACKOFF = 2.seconds
 
-        /** Delay before the items of a job are read again after a failed read. */
-        val LOAD_RETRY_INTERVAL = 200.milliseconds
-
         /** Minimum run time before the speed of a run is comparable. */
         val MIN_RUN_TIME_BEFORE_MOVE = 700.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
@@ -66,7 +66,7 @@
     }
 
     private companion object {
-        /** Silence after which the first read of a page fails: the store sends a page to a hundred instances meanwhile. */
+        /** Silence after which the first read fails: the store sends a page to a hundred instances meanwhile. */
         val MIN_SILENCE = 2.seconds
 
         /** Limit of the doubled silence; a connection may have gone silent for good. */
