--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/SnapshotReader.kt
@@ -6,6 +6,8 @@
 import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.store.TopicReadResult
 import dev.vanillarun.core.store.TopicSnapshotResult
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,7 +30,12 @@
  * failed is therefore the only one to be read again, and with more time: otherwise the store would send nothing but
  * repeats that are given up while they are on their way.
  */
-internal class SnapshotReader(private val log: TopicLog, private val topic: TopicName, startAfter: String? = null) {
+internal class SnapshotReader(
+    private val log: TopicLog,
+    private val topic: TopicName,
+    private val clock: MonotonicClock,
+    startAfter: String? = null,
+) {
     private val records = mutableListOf<StoredTopicRecord>()
     private var end: Offset? = null
 
@@ -36,6 +43,10 @@
     var after: String? = startAfter
         private set
 
+    /** Time at which the read of the first page was sent; the snapshot has the records before the end that it named. */
+    var endReadAt: Instant? = null
+        private set
+
     /** True once the last page has been read. */
     var isComplete = false
         private set
@@ -43,15 +54,19 @@
     private val silence = GrowingSilence(MIN_SILENCE, MAX_SILENCE)
 
     /** Reads the next page. */
-    suspend fun next(): SnapshotStep = when (val read = log.newest(topic, after, silence.current)) {
-        is TopicSnapshotResult.Page -> {
-            silence.succeeded()
-            accept(read)
-        }
+    suspend fun next(): SnapshotStep {
+        val sentAt = clock.now()
+        return when (val read = log.newest(topic, after, silence.current)) {
+            is TopicSnapshotResult.Page -> {
+                silence.succeeded()
+                if (endReadAt == null) endReadAt = sentAt
+                accept(read)
+            }
 
-        is TopicSnapshotResult.Unavailable -> {
-            silence.failed()
-            SnapshotStep.Failed(read.reason)
+            is TopicSnapshotResult.Unavailable -> {
+                silence.failed()
+                SnapshotStep.Failed(read.reason)
+            }
         }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -110,7 +110,7 @@
     /** What follows a read: a pause, the next read at once, a new snapshot, or a repeat after a backoff. */
     private enum class ReadOutcome { CAUGHT_UP, BEHIND, EXPIRED, FAILED }
 
-    private fun newSnapshot() = SnapshotReader(log, topic, snapshotStart)
+    private fun newSnapshot() = SnapshotReader(log, topic, clock, snapshotStart)
 
     private suspend fun readSnapshot(snapshot: SnapshotReader, sentAt: Instant, failures: Int): ReadOutcome {
         val after = snapshot.after
@@ -123,7 +123,7 @@
                 val bytes = step.page.records.sumOf { it.key.length + (it.value?.size ?: 0) }
                 val counts = mapOf("records" to "${step.page.records.size}", "bytes" to "$bytes")
                 record("topic.snapshot_read", sentAt, position + counts)
-                applyPage(step.page, sentAt, reset = true)
+                applyPage(step.page, snapshot.endReadAt ?: sentAt, reset = true)
                 ReadOutcome.CAUGHT_UP
             }
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/SnapshotReaderTest.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.store.TopicRecord
 import dev.vanillarun.core.store.TopicSnapshotResult
 import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.fake.ManualClock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.comparables.shouldBeGreaterThan
@@ -36,7 +37,7 @@
             it("reads only the page again that failed, and gives it twice the time after each failure") {
                 val store = log("a", "b", "c", "d", "e")
                 val timed = TimedLog(store)
-                val reader = SnapshotReader(timed, topic)
+                val reader = SnapshotReader(timed, topic, ManualClock())
                 reader.next() shouldBe SnapshotStep.Partial
                 store.up = false
                 repeat(3) { reader.next().shouldBeInstanceOf<SnapshotStep.Failed>() }
@@ -50,7 +51,7 @@
             }
             it("continues at the end that the topic had at the first page") {
                 val store = log("a", "b", "c")
-                val reader = SnapshotReader(store, topic)
+                val reader = SnapshotReader(store, topic, ManualClock())
                 reader.next() shouldBe SnapshotStep.Partial
                 store.append(topic, listOf(TopicRecord("d", ByteArray(1)), TopicRecord("a", ByteArray(1))))
                 val page = reader.next().shouldBeInstanceOf<SnapshotStep.Complete>().page
@@ -59,7 +60,7 @@
             }
             it("begins after the keys that are left out") {
                 val store = log("a/1", "a/2", "b", "c", "d")
-                val reader = SnapshotReader(store, topic, startAfter = "a0")
+                val reader = SnapshotReader(store, topic, ManualClock(), startAfter = "a0")
                 reader.next() shouldBe SnapshotStep.Partial
                 val page = reader.next().shouldBeInstanceOf<SnapshotStep.Complete>().page
                 page.records.map { it.key } shouldContainExactly listOf("b", "c", "d")
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/TopicFollowerTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/TopicFollowerTest.kt
@@ -15,6 +15,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
@@ -101,6 +102,29 @@
                 }
             }
         }
+        // Guards against denials by a view that lacks what was appended while the pages of its snapshot were read.
+        describe("a view from a snapshot of several pages") {
+            it("is as old as the first page") {
+                val keyed = TopicName("k", keyed = true)
+                val clock = ManualClock()
+                val log = FakeTopicLog().apply { snapshotPageRecords = 1 }
+                log.append(keyed, listOf("a", "b", "c").map { TopicRecord(it, it.encodeToByteArray()) })
+                val slow = object : TopicLog by log {
+                    override suspend fun newest(topic: TopicName, after: String?, silence: Duration) =
+                        log.newest(topic, after, silence).also { clock.advance(1.seconds) }
+
+                    override suspend fun read(topic: TopicName, from: Offset, wait: Duration, silence: Duration) =
+                        awaitCancellation()
+                }
+                coroutineScope {
+                    val follower = TopicFollower(slow, keyed, Values(), clock, NoOpEventRecorder)
+                    launch { follower.run() }
+                    follower.state.first { it.ready }
+                    follower.age(clock.now()) shouldBe 3.seconds
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
         describe("an old view") {
             it("is confirmed by one read of the store, however many ask at once") {
                 val log = FakeTopicLog()
