Take no results from a page of items and texts

Cause: the keys of items and texts come first, so that a page that begins near their end goes on with submissions and results. All records of the page were applied, in the order of the keys, while the positions of results follow from the order of the log: an instance that had not followed these results yet listed them at other positions. Change: a page of items and texts adds nothing but these. Measured: JobBoardTest, new case, red before (2 results in place of 0), green after; TopicFollowerTest, SnapshotReaderTest, JobTableTest green.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -59,7 +59,7 @@
     val follower = TopicFollower(log, Topic, this, clock, events, JobRecordCodec.CONTENT_END, pace)
 
     /** Reads items and texts that this view lacks; its loop has to run beside that of [follower]. */
-    val content = ContentReader(log, Topic, clock, events, ::accept)
+    val content = ContentReader(log, Topic, clock, events, ::acceptContent)
 
     /** Current jobs; a new value after each batch of records. */
     val table: StateFlow<JobTable> = current.asStateFlow()
@@ -74,6 +74,13 @@
         current.update { before -> decoded.fold(before, JobTable::apply) }
     }
 
+    /**
+     * Adds the items and texts in [records], which are in the order of their keys. The results among them are left to
+     * [follower], since their positions follow from the order of the topic.
+     */
+    private fun acceptContent(records: List<StoredTopicRecord>) =
+        accept(records.filter { it.key < JobRecordCodec.CONTENT_END })
+
     private fun decode(stored: StoredTopicRecord): JobRecord? {
         val record = JobRecords.decode(stored.key, stored.value)
         if (record == null && stored.value != null) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
@@ -9,6 +9,9 @@
 import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobRecordCodec
+import dev.vanillarun.core.log.Offset
+import dev.vanillarun.core.store.TopicLog
+import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.time.SystemClock
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.hosted.fake.FakeTopicLog
@@ -18,6 +21,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
@@ -187,6 +191,29 @@
                     board.findWithItems(id) shouldBe LookupResult.Found(job)
                 }
             }
+            // Guards against results at positions by the order of keys, when a page of texts goes on with results.
+            it("takes no results from a page of texts, whose order is not that of the log") {
+                val log = FakeTopicLog()
+                val other = JobId("k")
+                log.write(JobRecord.Submitted(job))
+                log.write(finished(1))
+                val unread = object : TopicLog by log {
+                    override suspend fun read(topic: TopicName, from: Offset, wait: Duration, silence: Duration) =
+                        awaitCancellation()
+                }
+                coroutineScope {
+                    val board = JobBoard(unread, SystemClock, NoOpEventRecorder)
+                    launch { board.follower.run() }
+                    launch { board.content.run() }
+                    board.follower.state.first { it.ready }
+                    listOf("i2", "i1").forEach {
+                        log.write(JobRecord.Finished(other, ItemResult(ItemId(it), ItemState.COMPLETED, "other")))
+                    }
+                    board.results(id, after = 0, wait = Duration.ZERO).shouldBeInstanceOf<LookupResult.Found<*>>()
+                    board.table.value.jobs[other]?.results.orEmpty().size shouldBe 0
+                    coroutineContext.cancelChildren()
+                }
+            }
             it("does not list a result without its text while the store is unavailable") {
                 val log = FakeTopicLog()
                 log.write(JobRecord.Submitted(job))
