--- a/review/standin/ModelServer.java
+++ b/review/standin/ModelServer.java
@@ -7,17 +7,18 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server of a service: an engine that streams tokens if it has models, else a plain service. */
 final class ModelServer {
-    final String id;
+    volatile String id;
     final String service;
     final int slots;
     final String models;
     final Record record;
-    final long born = System.currentTimeMillis();
+    volatile long born = System.currentTimeMillis();
     final AtomicInteger running = new AtomicInteger();
     final AtomicInteger orders = new AtomicInteger();
     /** Time of an answer of a plain service, and between two events of an engine. */
@@ -26,6 +27,12 @@
     volatile int events = 24;
     volatile int spread;
     volatile int pieceBytes = 200;
+    /** Share of the requests that a plain server runs and whose answer is lost; its connection returns nothing further. */
+    volatile double lostShare;
+    final Set<String> lost = ConcurrentHashMap.newKeySet();
+    /** Body of the last run of each request id. */
+    final Map<String, byte[]> bodies = new ConcurrentHashMap<>();
+    private final Map<String, Integer> begun = new ConcurrentHashMap<>();
     /** While true, the answers are bytes without end. */
     volatile boolean endless;
     /** Bytes that all floods together send in a millisecond: the link of one machine, 1,000 Mbit/s. */
@@ -37,7 +44,16 @@
     volatile String announced;
     /** The last run of each request id: begun at, ended at or 0, and 1 if it was finished or failed by the server. */
     final Map<String, long[]> runs = new ConcurrentHashMap<>();
-    private final ServerSocket listener;
+    /** Open connections, reset when the server crashes. */
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket listener;
+    private final InetAddress host;
+    private final int port;
+    /** A request whose body holds this text crashes the server when it begins to run it; null for none. */
+    volatile String poison;
+    volatile boolean down;
+    /** True once its entry is removed for good; it serves on. */
+    volatile boolean unlisted;
     private volatile long version = 1;
 
     ModelServer(String host, String id, String service, int slots, String model, Record record) throws IOException {
@@ -46,17 +62,45 @@
         this.slots = slots;
         this.models = model;
         this.record = record;
-        listener = new ServerSocket(0, 256, InetAddress.getByName(host));
+        this.host = InetAddress.getByName(host);
+        listener = new ServerSocket(0, 256, this.host);
+        port = listener.getLocalPort();
+        accept(listener);
+    }
+
+    private void accept(ServerSocket from) {
         Threads.start("accept " + id, () -> {
             while (true) {
-                Socket s = listener.accept();
+                Socket s = from.accept();
+                open.add(s);
                 Threads.start("conn " + id, () -> serve(s));
             }
         });
     }
 
+    /** Ends as a crash does, and is back after [downMs] with a new id. */
+    private void crash(int downMs) throws IOException {
+        down = true;
+        listener.close();
+        for (Socket s : open) {
+            s.setSoLinger(true, 0);
+            s.close();
+        }
+        Threads.start("restart " + id, () -> {
+            Threads.sleep(downMs);
+            id = "i-" + Long.toHexString(System.nanoTime() & 0xffffffffL);
+            born = System.currentTimeMillis();
+            ServerSocket again = new ServerSocket();
+            again.setReuseAddress(true);
+            again.bind(new java.net.InetSocketAddress(host, port), 256);
+            listener = again;
+            down = false;
+            accept(again);
+        });
+    }
+
     String address() {
-        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
+        return host.getHostAddress() + ":" + port;
     }
 
     private String modelsJson() {
@@ -82,6 +126,8 @@
             }
         } catch (IOException e) {
             // The connection ended, or was idle for too long.
+        } finally {
+            open.remove(s);
         }
     }
 
@@ -126,8 +172,15 @@
         }
         long[] run = {System.currentTimeMillis(), 0, 0};
         runs.put(rid, run);
+        bodies.put(rid, m.body);
+        begun.merge(rid, 1, Integer::sum);
         record.line("run", id, rid, line[1] + " tenant=" + m.headers.get("Tenant"));
         try {
+            if (poison != null && m.text().contains(poison)) {
+                record.line("crash", id, rid, "the server crashes");
+                crash(3000);
+                return false;
+            }
             if (endless) return flood(s, echo, rid);
             return models == null ? plain(s, echo, rid) : stream(s, m, echo, rid, run);
         } finally {
@@ -136,12 +189,27 @@
         }
     }
 
+    /** How often this server began to run the request. */
+    int begun(String requestId) {
+        return begun.getOrDefault(requestId, 0);
+    }
+
     long[] lastRun(String requestId) {
         return runs.get(requestId);
     }
 
     private boolean plain(Socket s, String echo, String rid) throws IOException {
         Threads.sleep(workMs);
+        if (Math.random() < lostShare) {
+            lost.add(rid);
+            record.line("ran", id, rid, "200, the answer is lost");
+            try {
+                while (s.getInputStream().read() >= 0) Threads.sleep(1);
+            } catch (IOException e) {
+                record.line("closed", id, rid, "by the caller");
+            }
+            return false;
+        }
         String load = "Server-Load: " + running.get() + ",0," + slots + "\r\n";
         send(s, 200, echo + load + "Server-Signature: sig." + id + "." + rid + "\r\n", ("done " + rid).getBytes(StandardCharsets.UTF_8));
         record.line("ran", id, rid, "200");
--- a/review/standin/Relay.java
+++ b/review/standin/Relay.java
@@ -11,7 +11,14 @@
 /** A relay before a server whose open connections can go silent: no byte, no close and no reset passes any more. */
 final class Relay {
     private static final class Pair {
+        final Socket near;
+        final Socket far;
         volatile boolean silent;
+
+        Pair(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
     }
 
     private final ServerSocket listener;
@@ -29,7 +36,7 @@
                     far.connect(to, 1000);
                     near.setTcpNoDelay(true);
                     far.setTcpNoDelay(true);
-                    Pair pair = new Pair();
+                    Pair pair = new Pair(near, far);
                     open.add(pair);
                     Threads.start("relay back", () -> pump(far, near, pair));
                     pump(near, far, pair);
@@ -52,6 +59,19 @@
         return count;
     }
 
+    /** Resets all connections that are open now, on both sides; returns how many there are. */
+    int reset() throws IOException {
+        int count = 0;
+        for (Pair p : open) {
+            p.near.setSoLinger(true, 0);
+            p.far.setSoLinger(true, 0);
+            p.near.close();
+            p.far.close();
+            count++;
+        }
+        return count;
+    }
+
     private void pump(Socket from, Socket to, Pair pair) {
         byte[] buffer = new byte[16384];
         try {
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -23,8 +23,8 @@
     final List<ModelServer> servers = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
     private final String control;
-    /** Address of the store in the settings of the processes; null for the store's own. */
-    String storeAddress;
+    /** Relays between the processes and the store, one for each process; without any, they reach it directly. */
+    final List<Relay> storeLinks = new ArrayList<>();
     private final Random random = new Random();
 
     Site(Path recordFile) throws IOException {
@@ -57,17 +57,32 @@
         return s;
     }
 
-    /** The servers write their entries now and every heartbeat. */
+    /** The servers write their entries now and every heartbeat; the store drops an entry after three of silence. */
     void announce() {
-        servers.forEach(s -> store.put("keyed.servers", s.id, s.entry()));
+        Map<String, Long> written = new java.util.concurrent.ConcurrentHashMap<>();
+        announceOnce(written);
         Threads.start("heartbeats", () -> {
             while (true) {
                 Threads.sleep(1200);
-                servers.forEach(s -> store.put("keyed.servers", s.id, s.entry()));
+                announceOnce(written);
             }
         });
     }
 
+    private void announceOnce(Map<String, Long> written) {
+        long now = System.currentTimeMillis();
+        for (ModelServer s : servers) {
+            if (s.down || s.unlisted) continue;
+            store.put("keyed.servers", s.id, s.entry());
+            written.put(s.id, now);
+        }
+        written.forEach((id, at) -> {
+            if (now - at < 3600) return;
+            store.put("keyed.servers", id, null);
+            written.remove(id);
+        });
+    }
+
     void configure(long version, String routes, String services) {
         store.put("keyed.op", "config", "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services
             + "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":33554432,\"header-timeout-ms\":5000,\"idle-timeout-ms\":60000},"
@@ -77,7 +92,7 @@
     /** Starts [count] processes of the system and waits until each is ready. */
     void start(int count) throws IOException, InterruptedException {
         for (int i = 1; i <= count; i++) {
-            nodes.add(new Node(folder, "front-torino-" + i, subnet + i, 18405, storeAddress == null ? store.address() : storeAddress, control, 12));
+            nodes.add(new Node(folder, "front-torino-" + i, subnet + i, 18405, storeLinks.isEmpty() ? store.address() : storeLinks.get(i - 1).address(), control, 12));
         }
         for (Node n : nodes) n.start();
         long until = System.currentTimeMillis() + 30_000;
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -20,6 +20,7 @@
     private static final class Rec {
         final byte[] payload;
         final String key;
+        final long at = System.nanoTime();
 
         Rec(byte[] payload, String key) {
             this.payload = payload;
@@ -35,6 +36,7 @@
 
     private static final class Topic {
         final List<Rec> records = new ArrayList<>();
+        int first;
         final TreeMap<String, Integer> newest = new TreeMap<>();
         final Map<String, Producer> producers = new HashMap<>();
     }
@@ -49,6 +51,8 @@
     private final Map<String, List<Integer>> parts = new HashMap<>();
     private long generation = 1;
     private final int partCount;
+    /** Records expire after this time, as the sheets say of both deployments; the newest of each key stays. */
+    volatile long retainMs = 20_000;
     private final HttpServer server;
 
     Store(String host, int partCount) throws IOException {
@@ -189,6 +193,11 @@
         Thread.sleep(2);
         synchronized (this) {
             Topic t = topic(q.get("topic"));
+            while (t.first < t.records.size() && (System.nanoTime() - t.records.get(t.first).at) / 1_000_000 > retainMs) t.first++;
+            if (from < t.first) {
+                answer(x, 410, "{\"first\":" + t.first + "}");
+                return;
+            }
             while (t.records.size() <= from) {
                 long left = (until - System.nanoTime()) / 1_000_000;
                 if (left <= 0) break;
@@ -196,7 +205,7 @@
             }
             DataOutputStream out = new DataOutputStream(bytes);
             out.writeLong(t.records.size());
-            out.writeLong(0);
+            out.writeLong(t.first);
             for (int i = from; i < t.records.size(); i++) {
                 byte[] p = t.records.get(i).payload;
                 if (i > from && bytes.size() + p.length + 4 > max) break;
