--- a/review/3/EndlessCase.java
+++ b/review/3/EndlessCase.java
@@ -41,13 +41,10 @@
         Site site = new Site(recordFile);
         List<ModelServer> engines = new ArrayList<>();
         for (int i = 0; i < 6; i++) engines.add(site.server("assistente", 8, Site.MODEL));
-        for (ModelServer s : engines) s.eventMs = Integer.parseInt(System.getenv().getOrDefault("EVENT_MS", "60"));
-        for (ModelServer s : engines) s.spread = Integer.parseInt(System.getenv().getOrDefault("SPREAD", "0"));
+        for (ModelServer s : engines) s.eventMs = 60;
         List<ModelServer> desk = new ArrayList<>();
-        for (int i = 0; i < Integer.parseInt(System.getenv().getOrDefault("DESK", "6")); i++) desk.add(site.server("banco-prestiti", 6, null));
+        for (int i = 0; i < 6; i++) desk.add(site.server("banco-prestiti", 6, null));
         for (ModelServer s : desk) s.workMs = 214;
-        String rate = System.getenv("LINK_MBIT");
-        if (rate != null) ModelServer.floodBytesPerMs = Integer.parseInt(rate) * 125;
         site.configure(1,
             "{\"name\":\"r-1\",\"host\":\"" + Site.HOST + "\",\"path-prefix\":\"/pule252/\",\"kind\":\"rollout\",\"service\":\"assistente\","
                 + "\"timeout-ms\":10000,\"goal-ms\":500,\"run-goal-ms\":7500,\"retain-s\":40,\"max-attempts\":3,\"priority\":0,\"public\":false},"
@@ -65,7 +62,7 @@
         }
         long troubleAt = System.currentTimeMillis();
         if (trouble) {
-            for (ModelServer s : desk.subList(0, Integer.parseInt(System.getenv().getOrDefault("BAD", "3")))) s.endless = true;
+            for (ModelServer s : desk.subList(0, 3)) s.endless = true;
             site.record.note("trouble: 3 of 6 plain servers answer with bytes without end for " + TROUBLE_MS + " ms");
         }
         steps.add(submit(site, 3, 6));
--- a/review/standin/ModelServer.java
+++ b/review/standin/ModelServer.java
@@ -156,6 +156,7 @@
             return true;
         }
         if (line[1].equals("/v1/order")) {
+            record.line("order", id, Http.field(m.text(), "fence"), Http.field(m.text(), "holder") + " version " + Http.field(m.text(), "version"));
             version = Long.parseLong(Http.field(m.text(), "version"));
             orders.incrementAndGet();
             send(s, 202, "", new byte[0]);
