--- a/review/standin/Relay.java
+++ b/review/standin/Relay.java
@@ -22,6 +22,8 @@
     }
 
     private final ServerSocket listener;
+    /** While true, connections are accepted, but no byte passes in either direction. */
+    volatile boolean mute;
     private final Set<Pair> open = ConcurrentHashMap.newKeySet();
 
     Relay(String host, String target) throws IOException {
@@ -80,6 +82,7 @@
             while (true) {
                 int n = in.read(buffer);
                 if (n < 0) break;
+                if (mute) pair.silent = true;
                 if (!pair.silent) out.write(buffer, 0, n);
             }
         } catch (IOException e) {
