--- a/review/1/TwiceCase.java
+++ b/review/1/TwiceCase.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Two of three servers lose the answer of 3 in 100 of the requests that they ran, for 5.5 s, three times. Judged is
+ * One of three servers loses the answer of 3 in 100 of the requests that it ran, for 5.5 s, three times. Judged is
  * TWICE: a request that isn't idempotent runs more than once.
  */
 final class TwiceCase {
@@ -44,8 +44,8 @@
         Threads.sleep(4000);
         for (int episode = 0; episode < 3; episode++) {
             if (trouble) {
-                for (ModelServer s : desk.subList(0, 2)) s.lostShare = 0.03;
-                site.record.note("trouble: two of three servers lose the answer of 3 in 100 requests that they ran");
+                for (ModelServer s : desk.subList(0, 1)) s.lostShare = 0.03;
+                site.record.note("trouble: one of three servers loses the answer of 3 in 100 requests that they ran");
             }
             Threads.sleep(5500);
             for (ModelServer s : desk) s.lostShare = 0;
@@ -78,7 +78,7 @@
         int colon = n.front.lastIndexOf(':');
         Socket s = null;
         while (!done) {
-            Thread.sleep(150);
+            Thread.sleep(100);
             String id = site.hex(16);
             try {
                 if (s == null) {
