Start no attempt of a live call at its deadline

Cause: LiveForwarder waits for a result for min(time left, hedge delay) and took each end of that wait without a result for the hedge. For a request that may not be repeated the hedge delay is infinite, so that the wait ended at the deadline, and start() checked the maximum attempts of the route but not whether a second run is allowed.

Fix: mayStart() is the only place that permits an attempt, by kind, attempts and time left, and a hedge follows only a wait that ended by the hedge delay. Requests that may be repeated were sent once more at their deadline, too, also after a target's failure at that moment; that work could serve nobody and is gone.

Evidence: two new cases of LiveForwarderTest, both red before (2 targets asked, 1 allowed), green after. StreamForwarder, AttemptLoop and RewardCaller were read for the same cause: they send one attempt after another, and decide by its outcome, so that none follows a time-out.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -74,8 +74,12 @@
             while (inFlight > 0) {
                 val left = request.deadline - clock.now()
                 if (left <= Duration.ZERO) return LiveOutcome.Unknown("no answer in time", timedOut = true)
-                val result = withTimeoutOrNull(minOf(left, hedgeDelay())) { results.receive() }
-                if (result == null) start() else handle(result)?.let { return it }
+                val hedgeDelay = hedgeDelay()
+                val result = withTimeoutOrNull(minOf(left, hedgeDelay)) { results.receive() }
+                when {
+                    result != null -> handle(result)?.let { return it }
+                    hedgeDelay < left -> start()
+                }
             }
             return failure
                 ?: if (mayHaveRun > 0) LiveOutcome.Unknown(reason, timedOut = false) else LiveOutcome.NotRun(reason)
@@ -99,18 +103,20 @@
                     reason = result.reason
                 }
             }
-            if (request.repeatable || mayHaveRun == 0) start()
+            start()
             return null
         }
 
-        private fun hedgeDelay(): Duration {
-            val mayHedge =
-                request.repeatable && mayHaveRun + inFlight < request.route.maxAttempts && triedIds.size < MAX_SENDS
-            return if (mayHedge) request.hedgeDelay else Duration.INFINITE
+        private fun hedgeDelay(): Duration = if (mayStart()) request.hedgeDelay else Duration.INFINITE
+
+        /** True if the route, the time left and the attempts so far permit another attempt beside those in flight. */
+        private fun mayStart(): Boolean {
+            val maxRuns = if (request.repeatable) request.route.maxAttempts else 1
+            return mayHaveRun + inFlight < maxRuns && triedIds.size < MAX_SENDS && clock.now() < request.deadline
         }
 
         private fun start() {
-            if (mayHaveRun + inFlight >= request.route.maxAttempts || triedIds.size >= MAX_SENDS) return
+            if (!mayStart()) return
             val replica = chooser.choose(request.route, triedIds + crashes.crashedTargets(request)) ?: return
             triedIds += replica.id
             inFlight++
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -19,17 +19,30 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.enum
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
 import io.ktor.http.Headers
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Runnable
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Runs a coroutine up to its first suspension as it is launched, so that it can't be cancelled before it begins. */
+private object EagerDispatcher : CoroutineDispatcher() {
+    override fun dispatch(context: CoroutineContext, block: Runnable) = block.run()
+}
+
 private fun route(kind: RequestKind, attempts: Int = 3) = CatalogRoute(
     name = "r",
     host = "h",
@@ -202,6 +215,16 @@
                     }
                 }
             }
+            // Guards against a booking that runs twice: its answer is lost, and a second target gets it at the deadline.
+            it("is not sent to a second target when its deadline passes without an answer, if it may run once") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.Silence)
+                    val call = request(route(RequestKind.NON_IDEMPOTENT), within = 50.milliseconds)
+                    withContext(EagerDispatcher) { live.serve(call) } shouldBe
+                        LiveOutcome.Unknown("no answer in time", timedOut = true)
+                    targets.requestedAddresses shouldHaveSize 1
+                }
+            }
             it("is refused at once while all targets are full") {
                 withTargets(2) {
                     targets.all(2, Behaviour.Response(503, notRun = true))
@@ -214,6 +237,20 @@
             }
         }
 
+        describe("any call") {
+            // Guards against attempts that no answer can follow: they only keep targets busy.
+            it("starts no attempt at its deadline, whatever its kind and hedge delay") {
+                checkAll(10, Arb.enum<RequestKind>(), Arb.int(50..80)) { kind, hedgeMs ->
+                    withTargets(3) {
+                        targets.all(3, Behaviour.Silence)
+                        val call = request(route(kind), within = 50.milliseconds, hedgeDelay = hedgeMs.milliseconds)
+                        withContext(EagerDispatcher) { live.serve(call) }
+                        targets.requestedAddresses shouldHaveSize 1
+                    }
+                }
+            }
+        }
+
         describe("a request at which target after target breaks off") {
             it("is refused after three targets, whoever sends it again; others go on") {
                 withTargets(6) {
