Reject records that the store can never accept, alone

The end of another job was never acknowledged, and its items went on.

Cause: DurableAppender sends a batch in doubt again until the store confirms it. A record that the store can never accept is never confirmed, and no answer told that from a store that is busy: 413 and 503 were the same refusal, which does not end the doubt about an earlier attempt. Everything that the process appends waits behind the batch. Nothing checked the size of a record before.

Fix: TopicAppendResult.Rejected says that no attempt of these bytes has an effect, which settles the earlier attempts, too. The appender completes a rejected record alone and sends the others of its batch one by one. Records beyond the known limits (hosting.record_bytes, hosting.append_bytes, keys of 255 bytes) are rejected before they are queued, as a key that is too long had the same effect. The caller of such a job gets 413 with the reason at once, in place of 503; a result that is too large is recorded as aborted instead of waiting for good. append.rejected names the record.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/TopicLog.kt
@@ -49,6 +49,12 @@
         public val reason: String,
     ) : TopicAppendResult
 
+    /** The store accepts these records at no attempt: neither this one nor an earlier one has had an effect. */
+    public data class Rejected(
+        /** Description of the failure and of its mend, for messages. */
+        public val reason: String,
+    ) : TopicAppendResult
+
     /** This attempt may have taken effect, or may still take effect later. */
     public data class InDoubt(
         /** Description of the failure, for messages. */
@@ -116,6 +122,9 @@
     /** Number of slots of each group. */
     public val slotCount: Int
 
+    /** Limits on what is appended. */
+    public val limits: AppendLimits get() = AppendLimits()
+
     /**
      * Appends [records] atomically. With an [identity], the append can be retried without writing the records twice.
      */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -97,10 +97,10 @@
     }
     private val usageBoard: UsageBoard = UsageBoard(ports.store, clock, events, reporting = { duty.heldTerm != null })
 
-    private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer)
-    private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer)
-    private val crashAppender = DurableAppender(ports.store, CrashBoard.Topic, writer)
-    private val placementAppender = DurableAppender(ports.store, PlacementBoard.Topic, writer)
+    private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer, events)
+    private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer, events)
+    private val crashAppender = DurableAppender(ports.store, CrashBoard.Topic, writer, events)
+    private val placementAppender = DurableAppender(ports.store, PlacementBoard.Topic, writer, events)
 
     private val tracker = TargetTracker(clock)
     private val placement = PlacementBoard(ports.store, tracker, clock, events)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedSettings.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedSettings.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.adapters.toml.Problem
 import dev.vanillarun.adapters.toml.ReadOutcome
 import dev.vanillarun.adapters.toml.TomlReader
+import dev.vanillarun.core.store.AppendLimits
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -62,9 +63,19 @@
     /** Time for which a target that announced its departure may get requests if there is no other, in milliseconds. */
     @SerialName("drain_ms")
     public val drainMs: Long = 2000,
-)
+    /** Maximum size of a record of the store, in bytes. */
+    @SerialName("record_bytes")
+    public val recordBytes: Int = 262_144,
+    /** Maximum size of all records of one append to the store, in bytes. */
+    @SerialName("append_bytes")
+    public val appendBytes: Int = 2_097_152,
+) {
+    /** Limits of the store on what is appended. */
+    public val limits: AppendLimits get() = AppendLimits(recordBytes, appendBytes)
+}
 
 private const val MIN_LEASE_MS = 500L
+private const val MIN_RECORD_BYTES = 4096
 private val ValidPorts = 1..65_535
 
 private fun HostedSettings.problems(file: String, lines: Map<String, Int>): List<Problem> = buildList {
@@ -88,5 +99,11 @@
     check("hosting.usage_window_s", hosting.usageWindowS > 0, "must be 1 or more")
     check("hosting.lease_ms", hosting.leaseMs >= MIN_LEASE_MS, "must be $MIN_LEASE_MS or more")
     check("hosting.drain_ms", hosting.drainMs >= 0, "must be 0 or more")
+    check("hosting.record_bytes", hosting.recordBytes >= MIN_RECORD_BYTES, "must be $MIN_RECORD_BYTES or more")
+    check(
+        "hosting.append_bytes",
+        hosting.appendBytes >= hosting.recordBytes,
+        "must be hosting.record_bytes (${hosting.recordBytes}) or more",
+    )
     check("hosting.grace_s", hosting.graceS > 0, "must be 1 or more")
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -89,9 +89,15 @@
         when (val outcome = appender.offer(JobRecords.encode(record, writer), timeout)) {
             TopicAppendResult.Done -> Reply(successStatus, "recorded")
             is TopicAppendResult.Refused -> Reply.notRun(outcome.reason, STORE_RETRY_AFTER)
+            is TopicAppendResult.Rejected -> tooLarge(outcome.reason)
             is TopicAppendResult.InDoubt -> Reply(GATEWAY_TIMEOUT, outcome.reason)
         }
 
+    private fun tooLarge(reason: String): Reply {
+        val text = "the job cannot be stored: $reason; submit its items as several jobs\n"
+        return Reply.content(PAYLOAD_TOO_LARGE, reason, text.encodeToByteArray(), ContentType.Text.Plain.toString())
+    }
+
     private fun missing(lookup: LookupResult<*>): Reply = if (lookup ==
         LookupResult.Absent
     ) {
@@ -110,6 +116,7 @@
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val CONFLICT = 409
+        const val PAYLOAD_TOO_LARGE = 413
         const val GATEWAY_TIMEOUT = 504
 
         /** Time reserved for the response to reach the caller before its deadline. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -12,6 +12,7 @@
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.store.TopicAppendResult
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
@@ -284,7 +285,11 @@
     }
 
     private suspend fun record(task: SampleTask, result: ItemResult, writer: String, attempt: Int = 0) {
-        appender.append(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
+        val appended = appender.append(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
+        if (appended is TopicAppendResult.Rejected && result.text.isNotEmpty()) {
+            recordEvent("item.result_rejected", task, "reason" to appended.reason)
+            return record(task, ItemResult(result.item, ItemState.ABORTED), writer, attempt)
+        }
         val state = result.state.name.lowercase()
         recordEvent("item.recorded", task, "state" to state, "versions" to "${result.versions}")
         val key = RunKey(task.job.id, task.item.id)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
@@ -5,6 +5,8 @@
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.store.TopicName
 import dev.vanillarun.core.store.TopicRecord
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
@@ -18,13 +20,15 @@
  *
  * Each batch carries a producer id and sequence number by which the store deduplicates, so a batch whose outcome is in
  * doubt is resent until the store confirms it. When the store definitely refuses a batch, the records of [offer] fail,
- * and those of [append] are sent again.
+ * and those of [append] are sent again. Records that the store can never accept are rejected alone, without the others
+ * of their batch: they would hold up all records of the process.
  */
 internal class DurableAppender(
     private val log: TopicLog,
     /** Topic of the records. */
     val topic: TopicName,
     private val producer: String,
+    private val events: EventRecorder,
 ) {
     private enum class Stage { QUEUED, IN_FLIGHT, WITHDRAWN }
 
@@ -39,23 +43,28 @@
     private var carriedOver: Entry? = null
 
     /** Appends [record] as [append] of a list does. */
-    suspend fun append(record: TopicRecord): Unit = append(listOf(record))
+    suspend fun append(record: TopicRecord): TopicAppendResult = append(listOf(record))
 
-    /** Appends [records] together, with unlimited retries; returns once the store has confirmed them. */
-    suspend fun append(records: List<TopicRecord>) {
+    /**
+     * Appends [records] together, with unlimited retries; returns Done once the store has confirmed them, or Rejected
+     * if it can never accept them.
+     */
+    suspend fun append(records: List<TopicRecord>): TopicAppendResult {
+        rejection(records)?.let { return it }
         val entry = Entry(records, mayRefuse = false)
         queue.send(entry)
-        entry.outcome.await()
+        return entry.outcome.await()
     }
 
     /** Appends [record] as [offer] of a list does. */
     suspend fun offer(record: TopicRecord, timeout: Duration): TopicAppendResult = offer(listOf(record), timeout)
 
     /**
-     * Appends [records] together within [timeout]. Refused means that they will never be appended; InDoubt means that
-     * they may have been appended or may still be.
+     * Appends [records] together within [timeout]. Refused and Rejected mean that they will never be appended; InDoubt
+     * means that they may have been appended or may still be.
      */
     suspend fun offer(records: List<TopicRecord>, timeout: Duration): TopicAppendResult {
+        rejection(records)?.let { return it }
         val entry = Entry(records, mayRefuse = true)
         if (queue.trySend(entry).isFailure) return TopicAppendResult.Refused("append queue is full")
         withTimeoutOrNull(timeout) { entry.outcome.await() }?.let { return it }
@@ -63,6 +72,14 @@
         return if (withdrawn) TopicAppendResult.Refused("append timed out in the queue") else outcomeAfterTimeout(entry)
     }
 
+    private fun rejection(records: List<TopicRecord>): TopicAppendResult.Rejected? =
+        log.limits.violation(records)?.let(TopicAppendResult::Rejected)?.also { recordRejection(records, it) }
+
+    private fun recordRejection(records: List<TopicRecord>, rejected: TopicAppendResult.Rejected) {
+        val attributes = mapOf("topic" to topic.value, "key" to records.first().key, "reason" to rejected.reason)
+        events.record("append.rejected", EventLinks(), attributes)
+    }
+
     private fun outcomeAfterTimeout(entry: Entry): TopicAppendResult =
         if (entry.outcome.isCompleted) entry.outcome.getCompleted() else TopicAppendResult.InDoubt("no reply in time")
 
@@ -78,7 +95,7 @@
         carriedOver = null
         while (true) {
             val size = next.records.sumOf { it.size }
-            if (batch.isNotEmpty() && bytes + size > MAX_BATCH_BYTES) {
+            if (batch.isNotEmpty() && bytes + size > minOf(MAX_BATCH_BYTES, log.limits.appendBytes)) {
                 carriedOver = next
                 return batch
             }
@@ -101,12 +118,23 @@
                 batch.forEach { it.outcome.complete(outcome) }
                 return
             }
+            if (outcome is TopicAppendResult.Rejected) return reject(batch, outcome)
             inDoubt = inDoubt || outcome is TopicAppendResult.InDoubt
             if (!inDoubt) batch = batch.refuse(outcome)
             delay(backoff.delayAfter(failures++))
         }
     }
 
+    /**
+     * Completes a single entry as rejected, and sends several ones again one by one. The sequence number is still free:
+     * the store judges the bytes of an append, so that it has accepted none of the attempts.
+     */
+    private suspend fun reject(batch: List<Entry>, outcome: TopicAppendResult.Rejected) {
+        if (batch.size > 1) return batch.forEach { appendBatch(listOf(it)) }
+        recordRejection(batch.single().records, outcome)
+        batch.single().outcome.complete(outcome)
+    }
+
     /** An unexpected error says nothing about the store, so the outcome is in doubt and the batch is sent again. */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun send(batch: List<Entry>): TopicAppendResult = try {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicPlatformLog.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicPlatformLog.kt
@@ -30,6 +30,7 @@
         return when (outcome) {
             TopicAppendResult.Done -> AppendResult.Appended(Offset.None)
             is TopicAppendResult.Refused -> AppendResult.Refused(outcome.reason, RETRY_AFTER)
+            is TopicAppendResult.Rejected -> AppendResult.Refused(outcome.reason, RETRY_AFTER)
             is TopicAppendResult.InDoubt -> AppendResult.InDoubt(outcome.reason)
         }
     }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/duty/UsageMeterTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/duty/UsageMeterTest.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.id.CustomerId
 import dev.vanillarun.core.metering.UsageRecord
+import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.fake.ManualClock
 import dev.vanillarun.hosted.store.DurableAppender
@@ -18,7 +19,7 @@
             it("are counted in the windows in which they began") {
                 runTest {
                     val log = FakeTopicLog()
-                    val appender = DurableAppender(log, UsageBoard.Topic, "p")
+                    val appender = DurableAppender(log, UsageBoard.Topic, "p", NoOpEventRecorder)
                     val appending = launch { appender.run() }
                     val clock = ManualClock()
                     val meter = UsageMeter(appender, window = 5.seconds, clock = clock, wallClock = { 12_000 })
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -45,6 +45,9 @@
     /** Number of the next appends that are confirmed and then lost, as after a rewind of the store's history. */
     var appendsToForget = 0
 
+    /** Size of a value above which the store rejects an append; writers do not know it. */
+    var maxValueBytes = Int.MAX_VALUE
+
     /** False simulates an outage: appends are in doubt, reads and group calls fail. */
     @Volatile
     var up = true
@@ -81,6 +84,9 @@
     @Synchronized
     private fun appendNow(topic: TopicName, records: List<TopicRecord>, identity: AppendIdentity?): TopicAppendResult {
         appends++
+        val isLarge = records.any { (it.value?.size ?: 0) > maxValueBytes }
+        if (up && isLarge && outcomes.removeFirstOrNull() !in LOST) return TopicAppendResult.Rejected("too large")
+        if (isLarge) return TopicAppendResult.InDoubt("no answer")
         if (!up) return TopicAppendResult.InDoubt("down")
         val outcome = outcomes.removeFirstOrNull() ?: AppendOutcome.DONE
         val isForgotten = outcome == AppendOutcome.DONE && appendsToForget > 0
@@ -152,4 +158,8 @@
     override suspend fun leave(group: String, member: String) {
         members -= member
     }
+
+    private companion object {
+        val LOST = setOf(AppendOutcome.RESPONSE_LOST, AppendOutcome.REQUEST_LOST)
+    }
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -18,6 +18,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventId
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.hosted.catalog.CatalogCodec
 import dev.vanillarun.hosted.catalog.CatalogSource
@@ -75,8 +76,8 @@
         val replicas = ReplicaSource(log, FixtureCodec, clock, events)
         val tracker = TargetTracker(clock)
         val placement = PlacementBoard(log, tracker, clock, events)
-        val appender = DurableAppender(log, JobBoard.Topic, "jobs")
-        val crashAppender = DurableAppender(log, CrashBoard.Topic, "crashes")
+        val appender = DurableAppender(log, JobBoard.Topic, "jobs", NoOpEventRecorder)
+        val crashAppender = DurableAppender(log, CrashBoard.Topic, "crashes", NoOpEventRecorder)
         val slots = SlotMembership(log, "i", events)
         val departures = DepartureBoard(replicas, 2.seconds, clock, { now.inWholeMilliseconds }, events)
         val gateway = TargetGateway(targets, targets, tracker, departures)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
@@ -31,7 +31,7 @@
     replicas.replicas.first { it.size == count }
     val targets = FakeTargets()
     val tracker = TargetTracker(SystemClock)
-    val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p")
+    val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p", NoOpEventRecorder)
     launch { appender.run() }
     val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoOpEventRecorder)
     val departures = DepartureBoard(replicas, 2.seconds, SystemClock, System::currentTimeMillis, NoOpEventRecorder)
