Entries that name no usable target are not listed, and end nothing

The exception of the connection's address left NettyTargetClient, which promises a result, and went through every caller of it: live calls answered with 500, runs of items waited for 2 s, and components that call targets ended and were started again.

Fix: ReplicaValidator decides in core what can be used and names the mend; the codec only translates. NettyTargetClient reports a request that it cannot send as not sent, before it takes a connection. TopicFollower isolates a record that exhausts the stack as it does one that throws: an Error ended the follower for good.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -51,7 +51,12 @@
         request: TargetRequest,
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
-        val uri = URI.create(request.url)
+        val message = try {
+            message(request)
+        } catch (e: IllegalArgumentException) {
+            return ExchangeResult.NotSent("the request cannot be sent: ${e.message}")
+        }
+        val uri = URI(request.url)
         val address = "${uri.host}:${uri.port}"
         val channel = pool.take(address) ?: when (val connected = connect(uri)) {
             is ConnectResult.Open -> connected.channel
@@ -61,7 +66,7 @@
         var reusable = false
         try {
             if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
-            if (!exchange.send(message(request, uri))) return ExchangeResult.NotSent("the connection is closed")
+            if (!exchange.send(message)) return ExchangeResult.NotSent("the connection is closed")
             val head = when (val result = exchange.head()) {
                 is HeadReadResult.Received -> result
                 is HeadReadResult.Broken -> return ExchangeResult.Broken(result.reason)
@@ -95,7 +100,10 @@
         continuation.invokeOnCancellation { connecting.channel().reset() }
     }
 
-    private fun message(request: TargetRequest, uri: URI): FullHttpRequest {
+    /** Builds the message; throws [IllegalArgumentException] if address, method or headers of [request] are invalid. */
+    private fun message(request: TargetRequest): FullHttpRequest {
+        val uri = URI.create(request.url)
+        require(uri.host != null && uri.port in ValidPorts) { "no address of a target: ${uri.authority}" }
         val path = request.url.substringAfter("://").let { it.substring(it.indexOf('/').coerceAtLeast(0)) }
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -117,6 +125,7 @@
     }
 
     private companion object {
+        val ValidPorts = 1..65_535
         const val MAX_LINE_BYTES = 8 * 1024
         const val MAX_HEADER_BYTES = 64 * 1024
         const val MAX_CHUNK_BYTES = 64 * 1024
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.catalog.Catalog
 import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.catalog.ReplicaValidator
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.store.TopicName
 
@@ -36,6 +37,13 @@
 
 /** Decoded announcement of a target. */
 public sealed interface Announcement {
+    /** Decides whether a decoded target can be used. */
+    public companion object {
+        /** Lists [replica], unless no request could be sent to it as it describes itself. */
+        public fun of(replica: Replica): Announcement =
+            ReplicaValidator.problem(replica)?.let { Unusable(it) } ?: Listed(replica)
+    }
+
     /** The target can be used. */
     public data class Listed(
         /** Target as it describes itself. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -224,16 +224,23 @@
         try {
             if (reset) sink.reset(records) else sink.accept(records)
         } catch (e: RuntimeException) {
-            val first = records.firstOrNull() ?: throw e
-            if (records.size > 1) {
-                deliver(listOf(first), reset)
-                records.drop(1).forEach { deliver(listOf(it), reset = false) }
-            } else {
-                val attributes = mapOf("topic" to topic.value, "key" to first.key, "reason" to "$e")
-                events.record("topic.record_skipped", EventLinks(offset = first.offset), attributes)
-                if (reset) sink.reset(emptyList())
-            }
+            isolate(records, reset, e)
+        } catch (e: StackOverflowError) {
+            isolate(records, reset, e) // A deeply nested record; the stack is free again.
+        }
+    }
+
+    /** Delivers [records] one by one after [cause], or skips the single one. */
+    private fun isolate(records: List<StoredTopicRecord>, reset: Boolean, cause: Throwable) {
+        val first = records.firstOrNull() ?: throw cause
+        if (records.size > 1) {
+            deliver(listOf(first), reset)
+            records.drop(1).forEach { deliver(listOf(it), reset = false) }
+            return
         }
+        val attributes = mapOf("topic" to topic.value, "key" to first.key, "reason" to "$cause")
+        events.record("topic.record_skipped", EventLinks(offset = first.offset), attributes)
+        if (reset) sink.reset(emptyList())
     }
 
     private fun skipTo(first: Offset) = current.update { it.copy(next = first) }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/TopicFollowerTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/store/TopicFollowerTest.kt
@@ -28,7 +28,7 @@
 
 private val topic = TopicName("t", keyed = false)
 
-/** Keeps the values it receives; a value `poison` throws. */
+/** Keeps the values it receives; a value `poison` throws, and `deep` exhausts the stack. */
 private class Values : TopicSink {
     val seen = CopyOnWriteArrayList<String>()
 
@@ -40,6 +40,7 @@
     override fun accept(records: List<StoredTopicRecord>) {
         val values = records.map { it.value!!.decodeToString() }
         check("poison" !in values) { "cannot be applied" }
+        if ("deep" in values) throw StackOverflowError()
         seen += values
     }
 }
@@ -85,8 +86,8 @@
                 log.write("a", "poison", "b")
                 following(log, ManualClock(), values) { follower ->
                     log.write("poison")
-                    log.write("c", "poison", "d")
-                    follower.state.first { it.next.value == 7L }
+                    log.write("c", "poison", "deep", "d")
+                    follower.state.first { it.next.value == 8L }
                     values.seen shouldContainExactly listOf("a", "b", "c", "d")
                 }
             }
