Bound the memory of responses over all exchanges, and restart components that an Error ended

Cause: limits for each exchange only. A response could take 8 MB, twice that while its buffer grew, and 64 parts of any size beside it, times all exchanges; some 25 floods exhaust the heap of 200 MB. The supervisor started a component again after an Exception but not after an Error, and one item's Error ended all others of the runner.

Fix: bodies over 64 KB that are received whole share an eighth of the heap (BufferedBodies, as for requests of the standalone daemon); one that finds it taken is given up, so that long ones compete among themselves and short ones do not wait. An exchange pauses its connection by bytes (256 KB), not by parts. Components and single items go on after an Error, which is counted and recorded. New metric: vanillarun_buffered_response_bytes.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -33,7 +33,7 @@
 internal class NettyExchange(private val channel: Channel) : ResponseBody {
     private val head = CompletableDeferred<HeadReadResult>()
     private val parts = Queue<ByteArray>(Queue.UNLIMITED)
-    private val bufferedParts = AtomicInteger()
+    private val buffered = AtomicInteger()
     private var written: ChannelFuture? = null
     private var interim = false
 
@@ -51,6 +51,9 @@
     var idleTimeout: Duration? = null
         private set
 
+    /** Bytes of the body that were received and not yet read by [next]. */
+    val bufferedBytes: Int get() = buffered.get()
+
     /** True if the request was written and the response read completely, and both sides keep the connection open. */
     val isReusable: Boolean get() = finished && consumed && keepAlive && written?.isSuccess == true && channel.isActive
 
@@ -79,7 +82,7 @@
             consumed = true
             return BodyPart.End(clean = received.exceptionOrNull() == null)
         }
-        if (bufferedParts.decrementAndGet() < READ_RESUME_PARTS) channel.config().isAutoRead = true
+        if (buffered.addAndGet(-bytes.size) < READ_RESUME_BYTES) channel.config().isAutoRead = true
         return BodyPart.Bytes(bytes)
     }
 
@@ -117,7 +120,7 @@
         val bytes = ByteArray(buffer.readableBytes())
         buffer.readBytes(bytes)
         parts.trySend(bytes)
-        if (bufferedParts.incrementAndGet() > READ_PAUSE_PARTS) channel.config().isAutoRead = false
+        if (buffered.addAndGet(bytes.size) > READ_PAUSE_BYTES) channel.config().isAutoRead = false
     }
 
     private fun onEnd() {
@@ -135,9 +138,9 @@
         const val FIRST_FINAL = 200
         val TimeoutParameter = Regex("timeout=(\\d+)")
 
-        /** Buffered parts above which the channel stops reading, and below which it reads again. */
-        const val READ_PAUSE_PARTS = 64
-        const val READ_RESUME_PARTS = 16
+        /** Buffered bytes above which the channel stops reading, and below which it reads again. */
+        const val READ_PAUSE_BYTES = 256 * 1024
+        const val READ_RESUME_BYTES = 64 * 1024
     }
 }
 
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/EndlessAnswersTest.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.daemon.target
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
@@ -117,13 +118,16 @@
                 EndlessTarget("HTTP/1.1 200 OK\r\n\r\n", "z".repeat(8192)).use { target ->
                     NettyTargetClient().use { client ->
                         val before = usedHeap()
+                        var body: ResponseBody? = null
                         val unread = withTimeoutOrNull(500.milliseconds) {
                             client.exchange(TargetRequest("GET", "http://${target.address}/", Headers.Empty)) {
+                                body = it.body
                                 CompletableDeferred<Unit>().await()
                             }
                         }
                         unread shouldBe null
                         (usedHeap() - before < MAX_HEAP_GROWTH_BYTES) shouldBe true
+                        (body as NettyExchange).bufferedBytes shouldBeLessThan MAX_READ_BYTES
                         withTimeout(10.seconds) { target.closed.await() }
                     }
                 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
@@ -40,7 +40,7 @@
                 return@launch run()
             } catch (e: CancellationException) {
                 throw e
-            } catch (e: Exception) {
+            } catch (e: Throwable) { // An Error, too: a component that ended would stay away for good, unnoticed.
                 failures.merge(name, 1, Long::plus)
                 val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
                 val attributes = mapOf("component" to name, "reason" to "$e", "at" to place)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -200,6 +200,9 @@
     init {
         val help = "Targets that announced their departure in a response, by the path of the first such response."
         metrics.counter("vanillarun_target_departures_total", help, "path") { departures.countsByKind }
+        metrics.gauge("vanillarun_buffered_response_bytes", "Bytes of large responses that are being received.") {
+            gateway.bufferedBytes.toDouble()
+        }
     }
 
     @Volatile
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -192,7 +192,7 @@
         work()
     } catch (e: CancellationException) {
         throw e
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         recordEvent("item.run_failed", task, "reason" to "$e")
         progress[task.item.id] =
             (progress[task.item.id] ?: ItemProgress()).copy(notBefore = clock.now() + FAILURE_BACKOFF)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -11,7 +11,6 @@
 import dev.vanillarun.hosted.target.SendResult
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
-import dev.vanillarun.hosted.target.readFully
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -168,7 +167,7 @@
     }
 
     private suspend fun readResponse(answer: OpenedResponse): LiveOutcome.Complete? {
-        val body = answer.body.readFully(MAX_RESPONSE_BYTES) ?: return null
+        val body = answer.readBody(MAX_RESPONSE_BYTES) ?: return null
         val status = answer.head.status
         if (status < FIRST_ERROR && answer.head.signature == null) return null
         return LiveOutcome.Complete(status, HeaderRules.towardsCaller(answer.headers), body, answer.head.signature)
@@ -183,7 +182,7 @@
         /** Maximum number of targets for one request, including those that rejected it. */
         const val MAX_SENDS = 4
 
-        /** Maximum size of a buffered response; the heap of the smallest machines holds several. */
+        /** Maximum size of a buffered response. */
         const val MAX_RESPONSE_BYTES = 8 * 1024 * 1024
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -16,7 +16,6 @@
 import dev.vanillarun.hosted.target.TargetDialect
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
-import dev.vanillarun.hosted.target.readFully
 import dev.vanillarun.hosted.target.withStallLimit
 import io.ktor.http.Headers
 import kotlinx.coroutines.withTimeoutOrNull
@@ -171,7 +170,7 @@
                 return Outcome.Interrupted("a success without a signature")
             }
             if (status != OK) {
-                val body = answer.body.readFully(MAX_RESPONSE_BYTES) ?: return Outcome.Interrupted("a broken answer")
+                val body = answer.readBody(MAX_RESPONSE_BYTES) ?: return Outcome.Interrupted("a broken answer")
                 val headers = HeaderRules.towardsCaller(answer.headers)
                 return Outcome.NonStream(LiveOutcome.Complete(status, headers, body, answer.head.signature))
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -1,26 +1,13 @@
 package dev.vanillarun.hosted.target
 
 import dev.vanillarun.core.catalog.Replica
-import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.caller.BufferedBodies
 import dev.vanillarun.daemon.target.ExchangeResult
-import dev.vanillarun.daemon.target.ResponseBody
 import dev.vanillarun.daemon.target.TargetClient
 import dev.vanillarun.daemon.target.TargetRequest
-import io.ktor.http.Headers
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A response whose head has arrived and whose request id was checked. */
-public class OpenedResponse(
-    /** Decoded status and headers. */
-    public val head: ResponseHead,
-    /** All headers as received. */
-    public val headers: Headers,
-    /** Body, still being received. */
-    public val body: ResponseBody,
-)
-
 /** Result of sending a request to a target. */
 public sealed interface SendResult<out T> {
     /** The target ran the request and its response was handled. */
@@ -50,7 +37,11 @@
     private val dialect: TargetDialect,
     private val tracker: TargetTracker,
     private val departures: DepartureBoard,
+    private val buffers: BufferedBodies = BufferedBodies(Runtime.getRuntime().maxMemory() / BUFFERS_OF_HEAP),
 ) {
+    /** Bytes of responses that are being received whole; those that fit into a small buffer are not counted. */
+    public val bufferedBytes: Long get() = buffers.bytes
+
     /** True if a request to [replica] needs no new connection. */
     public fun isWarm(replica: Replica): Boolean = client.isWarm(replica.address)
 
@@ -75,7 +66,7 @@
         try {
             val exchange = client.exchange(outgoing) { answer ->
                 val head = dialect.head(answer.status, answer.headers)
-                validate(request, replica, OpenedResponse(head, answer.headers, answer.body), handle)
+                validate(request, replica, OpenedResponse(head, answer.headers, answer.body, buffers), handle)
             }
             return toResult(exchange, replica)
         } finally {
@@ -96,7 +87,7 @@
         if (head.requestId != request.id) return SendResult.Unknown("an answer to another request")
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
-        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { answer.body.readFully(MAX_REFUSAL_BYTES) }
+        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { answer.readBody(MAX_REFUSAL_BYTES) }
         return SendResult.NotRun("the target refused with ${head.status}", wrongTarget = false)
     }
 
@@ -121,19 +112,10 @@
         /** Maximum size of a rejection body that is read to keep the connection reusable. */
         const val MAX_REFUSAL_BYTES = 64 * 1024
 
+        /** Fraction of the heap that the buffers of responses may take: one in this many bytes. */
+        const val BUFFERS_OF_HEAP = 8
+
         /** Maximum time for that; the head alone says that the request has not run. */
         val REFUSAL_BODY_TIMEOUT = 50.milliseconds
     }
 }
-
-/** Reads the rest of the body; null if it is truncated or exceeds [limit] bytes. */
-public suspend fun ResponseBody.readFully(limit: Int): ByteArray? {
-    val whole = ByteArrayOutputStream()
-    while (true) {
-        when (val part = next()) {
-            is BodyPart.Bytes -> whole.write(part.bytes)
-            is BodyPart.End -> return if (part.clean) whole.toByteArray() else null
-        }
-        if (whole.size() > limit) return null
-    }
-}
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -17,6 +17,8 @@
 import dev.vanillarun.hosted.target.TargetTracker
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
@@ -27,12 +29,15 @@
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,6 +48,9 @@
     override fun dispatch(context: CoroutineContext, block: Runnable) = block.run()
 }
 
+private const val FLOODS = 200
+private const val FLOOD_CHUNK = 64 * 1024
+
 private fun route(kind: RequestKind, attempts: Int = 3) = CatalogRoute(
     name = "r",
     host = "h",
@@ -251,6 +259,28 @@
             }
         }
 
+        // Guards against responses without end that exhaust the heap together, and end the work for all other callers.
+        describe("calls whose targets answer without end, many at once") {
+            it("end within the limit of the buffers, and small answers beside them are whole") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.Endless(ByteArray(FLOOD_CHUNK)))
+                    targets.behaviours["t2:80"] = Behaviour.Response()
+                    val floods = List(FLOODS) { at ->
+                        val flooded = request(route(RequestKind.NON_IDEMPOTENT), within = 20.seconds, id = "f$at")
+                        async { live.serve(flooded) }
+                    }
+                    var most = 0L
+                    val watch = launch { while (true) yield().also { most = maxOf(most, gateway.bufferedBytes) } }
+                    val small = request(route(RequestKind.IDEMPOTENT, attempts = 3), within = 20.seconds, id = "small")
+                    live.serve(small).shouldBeInstanceOf<LiveOutcome.Complete>()
+                    floods.awaitAll().count { it is LiveOutcome.Unknown } shouldBeGreaterThan FLOODS / 2
+                    watch.cancel()
+                    most shouldBeLessThanOrEqualTo Runtime.getRuntime().maxMemory() / 8
+                    gateway.bufferedBytes shouldBe 0
+                }
+            }
+        }
+
         describe("a request at which target after target breaks off") {
             it("is refused after three targets, whoever sends it again; others go on") {
                 withTargets(6) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
@@ -20,7 +20,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Forwarders for live calls in front of in-memory targets. */
-internal class LiveTestFixture(val targets: FakeTargets, val live: LiveForwarder, val streams: StreamForwarder)
+internal class LiveTestFixture(
+    val targets: FakeTargets,
+    val gateway: TargetGateway,
+    val live: LiveForwarder,
+    val streams: StreamForwarder,
+)
 
 /** Runs [test] with [count] targets of the service `desk` at `t0:80`, `t1:80` and so on. */
 internal suspend fun withTargets(count: Int, test: suspend LiveTestFixture.() -> Unit): Unit = coroutineScope {
@@ -39,6 +44,6 @@
     val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), SystemClock)
     val live = LiveForwarder(chooser, gateway, tracker, crashes, SystemClock, NoOpEventRecorder)
     val streams = StreamForwarder(chooser, gateway, targets, tracker, crashes, SystemClock, NoOpEventRecorder)
-    LiveTestFixture(targets, live, streams).test()
+    LiveTestFixture(targets, gateway, live, streams).test()
     coroutineContext.cancelChildren()
 }
