--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -65,20 +65,30 @@
         val exchange = NettyExchange(channel)
         var reusable = false
         try {
-            if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
-            if (!exchange.send(message)) return ExchangeResult.NotSent("the connection is closed")
-            val head = when (val result = exchange.head()) {
-                is HeadReadResult.Received -> result
-                is HeadReadResult.Broken -> return ExchangeResult.Broken(result.reason)
-            }
-            val value = handle(TargetResponse(head.status, head.headers, exchange))
-            reusable = exchange.isReusable
-            return ExchangeResult.Answered(value)
+            val result = send(exchange, request, message, handle)
+            reusable = result is ExchangeResult.Answered && exchange.isReusable
+            return result
         } finally {
             if (reusable) pool.put(address, channel, exchange.idleTimeout) else channel.reset()
         }
     }
 
+    private suspend fun <T> send(
+        exchange: NettyExchange,
+        request: TargetRequest,
+        message: FullHttpRequest,
+        handle: suspend (TargetResponse) -> T,
+    ): ExchangeResult<T> {
+        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
+        if (!exchange.send(message)) return ExchangeResult.NotSent("the connection is closed")
+        return when (val head = exchange.head()) {
+            is HeadReadResult.Received ->
+                ExchangeResult.Answered(handle(TargetResponse(head.status, head.headers, exchange)))
+
+            is HeadReadResult.Broken -> ExchangeResult.Broken(head.reason)
+        }
+    }
+
     override fun isWarm(address: String): Boolean = pool.has(address)
 
     private sealed interface ConnectResult {
