Store the items of a large job in several records

The large site has steps of 176 samples of 600 bytes and their reward calls, close to the limit; a trainer of 4,096 samples is far beyond it.

Change: JobRecords distributes the items over as many records as the limits of the store require, in the same append as the submission, so that the job is stored whole or not at all. A view joins the parts once it has all of them, in whatever order it reads them, and JobBoard reads those that a new view lacks one after another. A job that fits is stored as before. What remains too large is 2 MB in all, or one item over 256 KB.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/JobTable.kt
@@ -20,10 +20,15 @@
         override val job: JobId get() = content.id
     }
 
-    /** The job with its items, stored in the same append as the [Submitted] record without them. */
+    /**
+     * The job with a part of its items, stored in the same append as the [Submitted] record without them. The items of
+     * all parts in the order of [part] are those of the submission.
+     */
     public data class Items(
-        /** The submitted job. */
+        /** The submitted job with the items of this part. */
         public val content: Job,
+        /** Number of the part, from 0. */
+        public val part: Int = 0,
     ) : JobRecord {
         override val job: JobId get() = content.id
     }
@@ -69,13 +74,16 @@
     public val positions: PersistentMap<ItemId, Int> = persistentMapOf(),
     /** True once the submitter ended the job. */
     public val ended: Boolean = false,
-    /** The job with its items while its submission has not been read. */
-    public val content: Job? = null,
+    /** Items by number of their part, until all parts and the submission have been read. */
+    public val parts: PersistentMap<Int, List<JobItem>> = persistentMapOf(),
     /** Texts of items that have no result yet. */
     public val texts: PersistentMap<TextKey, String> = persistentMapOf(),
 ) {
     /** True while the job was submitted, not ended, and items without a result remain. */
     public val open: Boolean get() = job != null && !ended && results.size < job.itemCount
+
+    /** Number of the first part of the items that has not been read. */
+    public val nextPart: Int get() = generateSequence(0) { it + 1 }.first { it !in parts }
 }
 
 /**
@@ -93,7 +101,7 @@
         val before = jobs[record.job] ?: JobView()
         val after = when (record) {
             is JobRecord.Submitted -> before.withSubmission(record.content)
-            is JobRecord.Items -> before.withItems(record.content)
+            is JobRecord.Items -> before.withItems(record.part, record.content.items)
             is JobRecord.Finished -> before.withResult(record.result)
             is JobRecord.Text -> before.withText(record.key, record.text)
             is JobRecord.Ended -> before.copy(ended = true)
@@ -115,22 +123,28 @@
             val known = other.results.getOrNull(at)?.takeIf { it.item == result.item && it.textWriter == null }
             if (result.textWriter == null || known == null) result else known
         }
-        val knownJob = other.job?.takeIf { it.loaded }
-        return copy(results = merged.toPersistentList()).let { if (knownJob == null) it else it.withItems(knownJob) }
+        val knownItems = other.job?.takeIf { it.loaded }?.items
+        val withResults = copy(results = merged.toPersistentList())
+        return if (knownItems == null || job?.loaded != false) withResults else withResults.joined(knownItems)
     }
 
     private fun JobView.withSubmission(submitted: Job): JobView = when {
         job != null -> this
-        submitted.loaded || content == null -> copy(job = submitted, content = null)
-        else -> copy(job = submitted.copy(items = content.items), content = null)
+        submitted.loaded -> copy(job = submitted, parts = persistentMapOf())
+        else -> copy(job = submitted).let { it.joined(it.partsInOrder()) }
     }
 
-    private fun JobView.withItems(whole: Job): JobView = when {
-        job == null -> if (content == null) copy(content = whole) else this
-        job.loaded || whole.items.size != job.itemCount -> this
-        else -> copy(job = job.copy(items = whole.items))
+    private fun JobView.withItems(part: Int, items: List<JobItem>): JobView {
+        if (job?.loaded == true || part in parts) return this
+        return copy(parts = parts.put(part, items)).let { it.joined(it.partsInOrder()) }
     }
 
+    private fun JobView.partsInOrder(): List<JobItem> = (0 until nextPart).flatMap { parts.getValue(it) }
+
+    /** Returns the view with [items] if they are all items of the job. */
+    private fun JobView.joined(items: List<JobItem>): JobView =
+        if (items.size != job?.itemCount) this else copy(job = job.copy(items = items), parts = persistentMapOf())
+
     private fun JobView.withResult(result: ItemResult): JobView {
         if (result.item in positions) return this
         val text = result.textWriter?.let { texts[TextKey(result.item, it)] }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/AppendLimits.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/store/AppendLimits.kt
@@ -22,6 +22,9 @@
         }
     }
 
+    /** True if [record] can be appended by itself. */
+    public fun allows(record: TopicRecord): Boolean = violation(listOf(record)) == null
+
     private val TopicRecord.keySize: Int get() = key.encodeToByteArray().size
 
     /** Size in the store: the lengths of record and key, the key and the value. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/JobTableTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/JobTableTest.kt
@@ -11,8 +11,10 @@
 import io.kotest.property.arbitrary.element
 import io.kotest.property.arbitrary.int
 import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
 import io.kotest.property.arbitrary.map
 import io.kotest.property.checkAll
+import kotlin.random.Random
 
 private val ids = listOf("a", "b").map(::JobId)
 private val items = (1..4).map { ItemId("item-$it") }
@@ -116,6 +118,39 @@
             }
         }
 
+        // Guards against jobs that are refused, or never run, because their items do not fit into one record.
+        describe("a job whose items are stored in several records") {
+            it("has the items of its submission once all were read, in any order and repeatedly, and not before") {
+                checkAll(Arb.int(1..30), Arb.int(1..30), Arb.long()) { count, perRecord, seed ->
+                    val random = Random(seed)
+                    val whole = job(ids[0]).copy(
+                        items = List(count) {
+                            JobItem(ItemId("n$it"), "/p")
+                        },
+                        itemCount = count,
+                    )
+                    val stored = JobRecordCodec.encode(JobRecord.Submitted(whole), "w", perRecord)
+                    stored.size shouldBe (count + perRecord - 1) / perRecord + 1
+                    stored.dropLast(1).map { it.key }.let { it shouldBe it.sorted() }
+                    val read = (stored + stored.filter { random.nextBoolean() }).shuffled(random)
+                        .map { JobRecordCodec.decode(it.key, it.value)!! }
+                    read.indices.forEach { at ->
+                        val job = fold(read.take(at + 1)).jobs[ids[0]]?.job
+                        val isWhole = read.take(at + 1).distinct().size == stored.size
+                        job?.loaded shouldBe if (job == null) null else isWhole
+                    }
+                    fold(read).jobs.getValue(ids[0]) shouldBe JobView(job = whole)
+                }
+            }
+            it("is read part by part, each after the key before it") {
+                val stored = JobRecordCodec.encode(JobRecord.Submitted(job(ids[0])), "w", itemsPerRecord = 1)
+                stored.dropLast(1).forEachIndexed { part, record ->
+                    record.key shouldBeGreaterThan JobRecordCodec.beforeItems(ids[0], part)
+                    record.key shouldBeLessThan JobRecordCodec.beforeItems(ids[0], part + 2)
+                }
+            }
+        }
+
         describe("the record codec") {
             it("decodes every record that it encodes") {
                 checkAll(records) { record ->
@@ -138,7 +173,7 @@
                 val end = JobRecordCodec.encode(JobRecord.Ended(ids[0]), "w").single().key
                 listOf(submission, result, end).forEach { it shouldBeGreaterThan JobRecordCodec.CONTENT_END }
                 listOf(itemsKey, text).forEach { it shouldBeLessThan JobRecordCodec.CONTENT_END }
-                itemsKey shouldBeGreaterThan JobRecordCodec.itemsPrefix(ids[0])
+                itemsKey shouldBeGreaterThan JobRecordCodec.beforeItems(ids[0])
                 text shouldBeGreaterThan JobRecordCodec.beforeTexts(ids[0], items[1])
                 text shouldBeLessThan JobRecordCodec.beforeTexts(ids[0], items[2])
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -86,7 +86,7 @@
     }
 
     private suspend fun append(record: JobRecord, timeout: Duration, successStatus: Int): Reply =
-        when (val outcome = appender.offer(JobRecords.encode(record, writer), timeout)) {
+        when (val outcome = appender.offer(JobRecords.encode(record, writer, appender.limits), timeout)) {
             TopicAppendResult.Done -> Reply(successStatus, "recorded")
             is TopicAppendResult.Refused -> Reply.notRun(outcome.reason, STORE_RETRY_AFTER)
             is TopicAppendResult.Rejected -> tooLarge(outcome.reason)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -103,14 +103,24 @@
             is LookupResult.Found -> lookup.value.job
             else -> return if (lookup == LookupResult.Absent) LookupResult.Absent else LookupResult.Unknown
         }
-        if (found?.loaded == false) {
-            withTimeoutOrNull(CONTENT_TIMEOUT) {
-                content.read(JobRecordCodec.itemsPrefix(id)) { localJob(id)?.job?.loaded == false }
-            }
-        }
+        if (found?.loaded == false) withTimeoutOrNull(CONTENT_TIMEOUT) { readItems(id) }
         return localJob(id)?.job?.takeIf { it.loaded }?.let { LookupResult.Found(it) } ?: LookupResult.Unknown
     }
 
+    /** Reads the parts of the items of [id] that this view lacks, until a read fails or brings none. */
+    private suspend fun readItems(id: JobId) {
+        var previous = -1
+        var next = missingPart(id)
+        while (next != null && next > previous) {
+            val wanted = next
+            val succeeded = content.read(JobRecordCodec.beforeItems(id, wanted)) { missingPart(id) == wanted }
+            previous = wanted
+            next = if (succeeded) missingPart(id) else null
+        }
+    }
+
+    private fun missingPart(id: JobId): Int? = localJob(id)?.takeIf { it.job?.loaded == false }?.nextPart
+
     /** Returns the results of [id] from position [after] on; waits up to [wait] if there is none yet. */
     suspend fun results(id: JobId, after: Int, wait: Duration): LookupResult<ResultPage> {
         val found = when (val lookup = find(id)) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRecords.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRecords.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobRecordCodec
+import dev.vanillarun.core.store.AppendLimits
 import dev.vanillarun.core.store.TopicRecord
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -17,9 +18,19 @@
     private const val GZIP_MAGIC_1: Byte = 0x1f
     private const val GZIP_MAGIC_2: Byte = 0x8b.toByte()
 
-    /** Encodes [record] as records to append together; [writer] is unique to this process run. */
-    fun encode(record: JobRecord, writer: String): List<TopicRecord> =
-        JobRecordCodec.encode(record, writer).map { TopicRecord(it.key, it.value?.let(::compressed)) }
+    /**
+     * Encodes [record] as records to append together; [writer] is unique to this process run. The items of a large job
+     * are distributed over as many records as [limits] require, unless a single item exceeds them.
+     */
+    fun encode(record: JobRecord, writer: String, limits: AppendLimits = AppendLimits()): List<TopicRecord> {
+        var itemsPerRecord = ((record as? JobRecord.Submitted)?.content?.items?.size ?: 0).coerceAtLeast(1)
+        while (true) {
+            val records = JobRecordCodec.encode(record, writer, itemsPerRecord)
+                .map { TopicRecord(it.key, it.value?.let(::compressed)) }
+            if (itemsPerRecord == 1 || records.all(limits::allows)) return records
+            itemsPerRecord = (itemsPerRecord + 1) / 2
+        }
+    }
 
     /** Decodes [value] under [key]; null for a tombstone, a damaged record or one of an unknown format. */
     fun decode(key: String, value: ByteArray?): JobRecord? = try {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/DurableAppender.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.store
 
 import dev.vanillarun.core.store.AppendIdentity
+import dev.vanillarun.core.store.AppendLimits
 import dev.vanillarun.core.store.TopicAppendResult
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.store.TopicName
@@ -42,6 +43,9 @@
     private var sequence = 0L
     private var carriedOver: Entry? = null
 
+    /** Limits of the store, beyond which records are rejected. */
+    val limits: AppendLimits get() = log.limits
+
     /** Appends [record] as [append] of a list does. */
     suspend fun append(record: TopicRecord): TopicAppendResult = append(listOf(record))
 
