--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTopicLog.kt
@@ -84,10 +84,8 @@
     @Synchronized
     private fun appendNow(topic: TopicName, records: List<TopicRecord>, identity: AppendIdentity?): TopicAppendResult {
         appends++
-        val isLarge = records.any { (it.value?.size ?: 0) > maxValueBytes }
-        if (up && isLarge && outcomes.removeFirstOrNull() !in LOST) return TopicAppendResult.Rejected("too large")
-        if (isLarge) return TopicAppendResult.InDoubt("no answer")
         if (!up) return TopicAppendResult.InDoubt("down")
+        if (records.any { (it.value?.size ?: 0) > maxValueBytes }) return appendTooLarge()
         val outcome = outcomes.removeFirstOrNull() ?: AppendOutcome.DONE
         val isForgotten = outcome == AppendOutcome.DONE && appendsToForget > 0
         if (isForgotten) appendsToForget--
@@ -100,6 +98,12 @@
         }
     }
 
+    /** An append with a value that is too large never has an effect; its response may be lost as any other. */
+    private fun appendTooLarge(): TopicAppendResult = when (outcomes.removeFirstOrNull()) {
+        AppendOutcome.RESPONSE_LOST, AppendOutcome.REQUEST_LOST -> TopicAppendResult.InDoubt("no answer")
+        else -> TopicAppendResult.Rejected("too large")
+    }
+
     private fun write(topic: TopicName, records: List<TopicRecord>, identity: AppendIdentity?) {
         if (identity != null) {
             val last = sequences["$topic ${identity.producer}"] ?: -1
@@ -158,8 +162,4 @@
     override suspend fun leave(group: String, member: String) {
         members -= member
     }
-
-    private companion object {
-        val LOST = setOf(AppendOutcome.RESPONSE_LOST, AppendOutcome.REQUEST_LOST)
-    }
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -223,7 +223,7 @@
                     }
                 }
             }
-            // Guards against a booking that runs twice: its answer is lost, and a second target gets it at the deadline.
+            // Guards against requests that run twice: the answer is lost, and a second target is asked at the deadline.
             it("is not sent to a second target when its deadline passes without an answer, if it may run once") {
                 withTargets(3) {
                     targets.all(3, Behaviour.Silence)
