--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
@@ -2,7 +2,6 @@
 
 import dev.vanillarun.core.catalog.Catalog
 import dev.vanillarun.core.catalog.Replica
-import dev.vanillarun.core.catalog.ReplicaValidator
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.store.TopicName
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/ReplicaValidator.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/ReplicaValidator.kt
@@ -1,10 +1,11 @@
-package dev.vanillarun.core.catalog
+package dev.vanillarun.hosted.catalog
 
+import dev.vanillarun.core.catalog.Replica
 import java.net.URI
 import java.net.URISyntaxException
 
 /** Checks that requests can be sent to a target as it announces itself. */
-public object ReplicaValidator {
+internal object ReplicaValidator {
     private const val MAX_ID_LENGTH = 255
 
     /** Above every real target; sums of the slots of a service stay far below the limits of an Int. */
@@ -12,7 +13,7 @@
     private val ValidPorts = 1..65_535
 
     /** Describes why [replica] cannot be used, and what its announcement has to name; null if it can. */
-    public fun problem(replica: Replica): String? {
+    fun problem(replica: Replica): String? {
         val id = replica.id.value
         val oldest = replica.weights.values.minOrNull()?.number ?: 0
         return when {
