--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -19,7 +19,6 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.URI
 import java.util.concurrent.TimeUnit
-import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -105,7 +104,8 @@
                 cause != null -> ConnectResult.Failed("${cause::class.simpleName}: ${cause.message.orEmpty()}")
                 else -> ConnectResult.Open(connecting.channel())
             }
-            if (continuation.isActive) continuation.resume(outcome) else connecting.channel().reset()
+            // The waiting coroutine may be cancelled between this call and its own resumption.
+            continuation.resume(outcome) { _, _, _ -> connecting.channel().reset() }
         }
         continuation.invokeOnCancellation { connecting.channel().reset() }
     }
