Lose no answer that arrives in the moment in which the hedge is due

What callers saw: nothing until their deadline, then 504, though a target had answered.

Cause: withTimeoutOrNull { results.receive() }. When the time is up between the arrival of a result and the resumption of the coroutine that receives it, the coroutine is cancelled and the result dropped.

Fix: a select with a timeout, which takes one or the other. Evidence: the new case of LiveForwarderTest was red at its first call before, and passes 300 of them.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -13,11 +13,13 @@
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlin.time.Duration
 
 /**
@@ -74,7 +76,7 @@
                 val left = request.deadline - clock.now()
                 if (left <= Duration.ZERO) return LiveOutcome.Unknown("no answer in time", timedOut = true)
                 val hedgeDelay = hedgeDelay()
-                val result = withTimeoutOrNull(minOf(left, hedgeDelay)) { results.receive() }
+                val result = awaitResult(minOf(left, hedgeDelay))
                 when {
                     result != null -> handle(result)?.let { return it }
                     hedgeDelay < left -> start()
@@ -84,6 +86,13 @@
                 ?: if (mayHaveRun > 0) LiveOutcome.Unknown(reason, timedOut = false) else LiveOutcome.NotRun(reason)
         }
 
+        /** Waits for a result. Unlike a receive within a timeout, a select never drops one that it has received. */
+        @OptIn(ExperimentalCoroutinesApi::class)
+        private suspend fun awaitResult(limit: Duration): Attempt? = select {
+            results.onReceive { it }
+            onTimeout(limit) { null }
+        }
+
         private fun handle(result: Attempt): LiveOutcome? {
             inFlight--
             when (result) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -34,6 +34,9 @@
     /** Opens a response and sends [chunk] each [interval] without end; the chunks complete no event. */
     data class Endless(val chunk: ByteArray, val interval: Duration = Duration.ZERO) : Behaviour
 
+    /** Sends a complete response [after] the request. */
+    data class Late(val after: Duration) : Behaviour
+
     /** Streams five events that are [interval] apart. */
     data class SlowStream(val interval: Duration) : Behaviour
 
@@ -89,6 +92,11 @@
     ): ExchangeResult<T> = when (val behaviour = behaviours[address] ?: Behaviour.Response()) {
         is Behaviour.Response -> ExchangeResult.Answered(handle(answer(behaviour.status, id, behaviour.notRun)))
 
+        is Behaviour.Late -> {
+            delay(behaviour.after)
+            ExchangeResult.Answered(handle(answer(200, id, notRun = false)))
+        }
+
         is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
 
         is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -15,6 +15,7 @@
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.comparables.shouldBeGreaterThan
@@ -33,6 +34,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -48,6 +50,8 @@
     override fun dispatch(context: CoroutineContext, block: Runnable) = block.run()
 }
 
+/** Calls of which several meet the race, on a thread that is kept busy while both timers expire. */
+private const val COINCIDENCES = 300
 private const val FLOODS = 200
 private const val FLOOD_CHUNK = 64 * 1024
 
@@ -259,6 +263,22 @@
             }
         }
 
+        // Guards against an answer that is lost because it arrives in the moment in which the hedge is due.
+        describe("a call whose answer and hedge coincide") {
+            it("is answered, whichever comes first") {
+                withTargets(1) {
+                    repeat(COINCIDENCES) { at ->
+                        val call = request(route(RequestKind.IDEMPOTENT), id = "c$at", hedgeDelay = 2.milliseconds)
+                        targets.behaviours["t0:80"] = Behaviour.Late(2.milliseconds)
+                        val slow = launch { repeat(3) { delay(1.milliseconds).also { Thread.sleep(2) } } }
+                        val answer = withTimeoutOrNull(2.seconds) { live.serve(call) }
+                        withClue("call $at") { answer.shouldBeInstanceOf<LiveOutcome.Complete>() }
+                        slow.cancel()
+                    }
+                }
+            }
+        }
+
         // Guards against responses without end that exhaust the heap together, and end the work for all other callers.
         describe("calls whose targets answer without end, many at once") {
             it("end within the limit of the buffers, and small answers beside them are whole") {
