Report the connection that an answer came on, and stray bytes

The logs could not tell the hypotheses apart: a success was not logged with what it came from, a failed attempt named no connection, and bytes on an idle connection were dropped without a trace.

request.served, attempt.failed and stream.attempt_ended now carry target, connection, number of the exchange on it and the request before; answer.stray and vanillarun_stray_answers_total tell what targets sent without answering a request. Netty's client codec keeps bytes that follow an answer, out of sight, so the client has a decoder of its own that sees them. Which connections are reused and what is passed on does not change.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -4,15 +4,12 @@
 import io.ktor.http.HeadersBuilder
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
@@ -51,6 +48,29 @@
     var idleTimeout: Duration? = null
         private set
 
+    /** Use of the connection by this exchange; null before [send]. */
+    @Volatile
+    var connection: ConnectionUse? = null
+        private set
+
+    /** Id of the request; null before [send], or if it has none. */
+    @Volatile
+    var requestId: String? = null
+        private set
+
+    /** Method of the request; null before [send]. */
+    @Volatile
+    var method: String? = null
+        private set
+
+    /** Why the exchange failed; null unless [fail] was called. */
+    @Volatile
+    var failure: String? = null
+        private set
+
+    /** True until the response is complete. */
+    val isOpen: Boolean get() = !finished
+
     /** Bytes of the body that were received and not yet read by [next]. */
     val bufferedBytes: Int get() = buffered.get()
 
@@ -58,14 +78,16 @@
     val isReusable: Boolean get() = finished && consumed && keepAlive && written?.isSuccess == true && channel.isActive
 
     /**
-     * Sends [request] and routes what the channel receives to this exchange; false if the channel was closed before, so
-     * that nothing is sent.
+     * Sends [request] with [id] and routes what the channel receives to this exchange; false if the channel was closed
+     * before, so that nothing is sent.
      */
-    fun send(request: FullHttpRequest): Boolean {
+    fun send(request: FullHttpRequest, id: String? = null): Boolean {
         // Netty removes the handlers of a closed channel.
         val handler: ExchangeHandler? = channel.pipeline().get(ExchangeHandler::class.java)
         handler ?: return false
-        handler.current = this
+        requestId = id
+        method = request.method().name()
+        connection = handler.begin(this, channel)
         channel.config().isAutoRead = true
         written = channel.writeAndFlush(request).addListener { sent -> sent.cause()?.let { fail(it.summary()) } }
         if (!channel.isActive) fail("the connection is closed")
@@ -130,6 +152,7 @@
 
     /** Fails the exchange: a reader of the head or the body sees [reason]. */
     fun fail(reason: String) {
+        failure = reason
         head.complete(HeadReadResult.Broken(reason))
         parts.close(IOException(reason))
     }
@@ -144,31 +167,4 @@
     }
 }
 
-private fun Throwable.summary(): String = "${this::class.simpleName}: ${message.orEmpty()}"
-
-/** Passes messages to the current exchange; a message that belongs to no exchange resets the connection. */
-internal class ExchangeHandler : ChannelInboundHandlerAdapter() {
-    /** Exchange that was started last on this connection. */
-    @Volatile
-    var current: NettyExchange? = null
-
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        try {
-            val belongs = message is HttpObject && current?.received(message) == true
-            if (!belongs) context.channel().reset()
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
-    }
-
-    override fun channelInactive(context: ChannelHandlerContext) {
-        current?.fail("the connection was closed")
-        super.channelInactive(context)
-    }
-
-    @Suppress("OVERRIDE_DEPRECATION")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        current?.fail(cause.summary())
-        context.channel().reset()
-    }
-}
+internal fun Throwable.summary(): String = "${this::class.simpleName}: ${message.orEmpty()}"
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -12,9 +12,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.URI
@@ -32,6 +33,9 @@
 public class NettyTargetClient(private val connectTimeout: Duration = 1.seconds, threads: Int = 1) : TargetClient {
     private val group = NioEventLoopGroup(threads)
     private val pool = ConnectionPool()
+
+    @Volatile
+    private var strays = StrayAnswerListener {}
     private val bootstrap = Bootstrap()
         .group(group)
         .channel(NioSocketChannel::class.java)
@@ -40,8 +44,8 @@
         .handler(
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                    channel.pipeline().addLast(ExchangeHandler())
+                    val exchanges = ExchangeHandler { strays.received(it) }
+                    channel.pipeline().addLast(HttpRequestEncoder(), ResponseDecoder(exchanges, Limits), exchanges)
                 }
             },
         )
@@ -79,17 +83,23 @@
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
         if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
-        if (!exchange.send(message)) return ExchangeResult.NotSent("the connection is closed")
+        if (!exchange.send(message, request.id)) return ExchangeResult.NotSent("the connection is closed")
         return when (val head = exchange.head()) {
             is HeadReadResult.Received ->
-                ExchangeResult.Answered(handle(TargetResponse(head.status, head.headers, exchange)))
+                ExchangeResult.Answered(
+                    handle(TargetResponse(head.status, head.headers, exchange, exchange.connection)),
+                )
 
-            is HeadReadResult.Broken -> ExchangeResult.Broken(head.reason)
+            is HeadReadResult.Broken -> ExchangeResult.Broken(head.reason, exchange.connection)
         }
     }
 
     override fun isWarm(address: String): Boolean = pool.has(address)
 
+    override fun onStrayAnswer(listener: StrayAnswerListener) {
+        strays = listener
+    }
+
     private sealed interface ConnectResult {
         class Open(val channel: Channel) : ConnectResult
 
@@ -136,9 +146,10 @@
 
     private companion object {
         val ValidPorts = 1..65_535
-        const val MAX_LINE_BYTES = 8 * 1024
-        const val MAX_HEADER_BYTES = 64 * 1024
-        const val MAX_CHUNK_BYTES = 64 * 1024
+        val Limits: HttpDecoderConfig = HttpDecoderConfig()
+            .setMaxInitialLineLength(8 * 1024)
+            .setMaxHeaderSize(64 * 1024)
+            .setMaxChunkSize(64 * 1024)
     }
 }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -20,6 +20,8 @@
     public val freshConnection: Boolean = false,
     /** Last check before the first byte is sent; clients that cannot check then do so before they connect. */
     public val sendGuard: SendGuard = SendGuard.Always,
+    /** Id that the answer has to name; null if answers to such requests name none. */
+    public val id: String? = null,
 )
 
 /** Result of one read from a response body. */
@@ -51,6 +53,8 @@
     public val headers: Headers,
     /** Body, readable only while the handler of the exchange runs. */
     public val body: ResponseBody,
+    /** Use of the connection that carried the response; null if the client does not know. */
+    public val connection: ConnectionUse? = null,
 )
 
 /** Result of one HTTP exchange with a target. */
@@ -71,6 +75,8 @@
     public data class Broken(
         /** Error as text, for events and logs. */
         public val reason: String,
+        /** Use of the connection that broke; null if the client does not know. */
+        public val connection: ConnectionUse? = null,
     ) : ExchangeResult<Nothing>
 
     /** The connection is dead while the target responds on others; the target may have run the request. */
@@ -84,4 +90,7 @@
 
     /** True if an idle connection to [address], `host:port`, is pooled; false if the client does not know. */
     public fun isWarm(address: String): Boolean = false
+
+    /** Reports to [listener] what targets send without being an answer, where the client notices it. */
+    public fun onStrayAnswer(listener: StrayAnswerListener) {}
 }
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/LoadPollerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/LoadPollerTest.kt
@@ -19,6 +19,7 @@
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.daemon.target.ExchangeResult
 import dev.vanillarun.daemon.target.LoadReader
+import dev.vanillarun.daemon.target.ResponseBody
 import dev.vanillarun.daemon.target.TargetClient
 import dev.vanillarun.daemon.target.TargetRequest
 import dev.vanillarun.daemon.target.TargetResponse
@@ -48,7 +49,8 @@
         requests++
         val report = load() ?: return ExchangeResult.Broken("silent")
         val parts = ArrayDeque(listOf(BodyPart.Bytes("""{"in_flight":$report}""".encodeToByteArray())))
-        val answer = TargetResponse(200, Headers.Empty) { parts.removeFirstOrNull() ?: BodyPart.End(clean = true) }
+        val body = ResponseBody { parts.removeFirstOrNull() ?: BodyPart.End(clean = true) }
+        val answer = TargetResponse(200, Headers.Empty, body)
         return ExchangeResult.Answered(handle(answer))
     }
 
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -27,7 +27,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A server that keeps connections open and responds to each request with bytes that the test chooses. */
-private class KeepAliveServer(private val respond: Socket.(request: String) -> Unit) : AutoCloseable {
+internal class KeepAliveServer(private val respond: Socket.(request: String) -> Unit) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val connections = AtomicInteger()
--- /dev/null
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -0,0 +1,55 @@
+package dev.vanillarun.daemon.target
+
+import dev.vanillarun.daemon.fake.send
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.ktor.http.Headers
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.seconds
+
+private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+class StrayAnswerTest :
+    DescribeSpec({
+        val strays = CopyOnWriteArrayList<StrayAnswer>()
+
+        suspend fun with(answers: List<String>, test: suspend (suspend (String) -> ExchangeResult<Unit>) -> Unit) {
+            val left = AtomicReference(answers)
+            strays.clear()
+            NettyTargetClient().use { client ->
+                client.onStrayAnswer { strays += it }
+                KeepAliveServer({ send(left.getAndUpdate { it.drop(1) }.first()) }).use { server ->
+                    test { id ->
+                        client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty, id = id)) {
+                            it.body.next() shouldBe BodyPart.End(clean = true)
+                        }
+                    }
+                }
+            }
+        }
+
+        // Nothing told how often targets stutter, nor on which connection.
+        it("bytes on an idle connection are reported with the request before, also if they are no whole message") {
+            with(listOf(OK + "HTTP/1.1 2")) { exchange ->
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.EXCESS) }
+                strays.single().connection?.exchange shouldBe 1
+            }
+        }
+        it("bytes that are no answer are reported with the request that waits and the one before") {
+            with(listOf(OK, "no answer\r\n\r\n")) { exchange ->
+                exchange("first")
+                val broken = exchange("second").shouldBeInstanceOf<ExchangeResult.Broken>()
+                broken.connection?.exchange shouldBe 2
+                broken.connection?.previousRequest shouldBe "first"
+                eventually(5.seconds) { strays shouldHaveSize 1 }
+                strays.single().kind shouldBe StrayKind.MALFORMED
+                strays.single().request shouldBe "second"
+                strays.single().connection shouldBe broken.connection
+            }
+        }
+    })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -54,8 +54,10 @@
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.StrayAnswers
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
+import dev.vanillarun.hosted.target.registerTargets
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
@@ -106,7 +108,8 @@
     private val placement = PlacementBoard(ports.store, tracker, clock, events)
     private val departures =
         DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
-    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures)
+    private val strays = StrayAnswers(events)
+    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays)
     private val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre(settings.dataCentre), clock)
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
@@ -198,11 +201,8 @@
     private val servers = mutableListOf<HttpServer>()
 
     init {
-        val help = "Targets that announced their departure in a response, by the path of the first such response."
-        metrics.counter("vanillarun_target_departures_total", help, "path") { departures.countsByKind }
-        metrics.gauge("vanillarun_buffered_response_bytes", "Bytes of large responses that are being received.") {
-            gateway.bufferedBytes.toDouble()
-        }
+        ports.client.onStrayAnswer(strays)
+        metrics.registerTargets(departures, strays, gateway)
     }
 
     @Volatile
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -104,7 +104,7 @@
             "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
             "catalog" to "${catalog.catalog.value?.version}",
             "method" to head.method,
-        )
+        ) + reply.source?.attributes.orEmpty()
         val served = reply.status < FIRST_ERROR && reply.stream != StreamEnd.ABORTED
         val name = if (served) "request.served" else "request.ended"
         events.record(name, EventLinks(request = metadata.id), attributes)
@@ -182,7 +182,7 @@
         val isStream = request.route.kind == RequestKind.STREAM
         val outcome = if (isStream) streams.serve(request, sink) else live.serve(request)
         return when (outcome) {
-            is LiveOutcome.Complete -> Reply(outcome.status, "answered", outcome.body, outcome.headers)
+            is LiveOutcome.Complete -> outcome.run { Reply(status, "answered", body, headers, source = source) }
             is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(request.route))
             is LiveOutcome.Unknown -> Reply(if (outcome.timedOut) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
             is LiveOutcome.Streamed -> Reply.streamed(outcome)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/Reply.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/Reply.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.front
 
 import dev.vanillarun.hosted.live.LiveOutcome
+import dev.vanillarun.hosted.live.ResponseSource
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
 import io.ktor.http.HttpHeaders
@@ -25,6 +26,8 @@
     val retryAfter: Duration? = null,
     /** End of the stream that was sent instead of [body]; null for a response with a body. */
     val stream: StreamEnd? = null,
+    /** Where the response came from; null if not from a target, or if it was streamed. */
+    val source: ResponseSource? = null,
 ) {
     companion object {
         private const val OK = 200
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -7,10 +7,12 @@
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.daemon.forward.HeaderRules
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.SendResult
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
+import dev.vanillarun.hosted.target.attributes
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -41,7 +43,7 @@
 
         class NotRun(val reason: String) : Attempt
 
-        class Unknown(val reason: String) : Attempt
+        class Unknown(val reason: String, val connection: ConnectionUse?) : Attempt
     }
 
     private class InFlightAttempt(val replica: Replica, val since: Instant, val work: Job)
@@ -143,15 +145,15 @@
             val sentAt = clock.now()
             request.onPassedOn(replica.id, sentAt)
             val sent = try {
-                gateway.send(request.outgoing(sentAt), replica) { readResponse(it) }
+                gateway.send(request.outgoing(sentAt), replica) { read(it, replica) }
             } catch (e: CancellationException) {
                 request.markRunning(sentAt) // the target keeps running the request after the cancellation
                 throw e
             }
             val result = when (sent) {
-                is SendResult.Answered -> sent.value?.let { Attempt.Answer(it) } ?: Attempt.Unknown("a broken answer")
+                is SendResult.Answered -> sent.value
                 is SendResult.NotRun -> Attempt.NotRun(sent.reason)
-                is SendResult.Unknown -> Attempt.Unknown(sent.reason)
+                is SendResult.Unknown -> Attempt.Unknown(sent.reason, sent.connection)
             }
             val elapsed = clock.now() - sentAt
             if (result !is Attempt.NotRun) request.markRunning(sentAt)
@@ -170,19 +172,27 @@
                     is Attempt.Unknown -> "unknown: ${result.reason}"
                 },
             )
-            if (result !is Attempt.Answer) events.record("attempt.failed", EventLinks(request = request.id), attributes)
+            val connection = (result as? Attempt.Unknown)?.connection.attributes()
+            if (result !is Attempt.Answer) {
+                events.record("attempt.failed", EventLinks(request = request.id), attributes + connection)
+            }
             return result
         }
     }
 
-    private suspend fun readResponse(answer: OpenedResponse): LiveOutcome.Complete? {
-        val body = answer.readBody(MAX_RESPONSE_BYTES) ?: return null
-        val status = answer.head.status
-        if (status < FIRST_ERROR && answer.head.signature == null) return null
-        return LiveOutcome.Complete(status, HeaderRules.towardsCaller(answer.headers), body, answer.head.signature)
+    private suspend fun read(answer: OpenedResponse, replica: Replica): Attempt {
+        val body = answer.readBody(MAX_RESPONSE_BYTES)
+        val (status, signature) = answer.head.run { status to signature }
+        if (body == null || (status < FIRST_ERROR && signature == null)) {
+            return Attempt.Unknown("a broken answer", answer.connection)
+        }
+        val headers = HeaderRules.towardsCaller(answer.headers)
+        val source = ResponseSource(replica.id, answer.connection)
+        return Attempt.Answer(LiveOutcome.Complete(status, headers, body, signature, source))
     }
 
-    private fun LiveOutcome.Complete.after(errors: Int) = LiveOutcome.Complete(status, headers, body, signature, errors)
+    private fun LiveOutcome.Complete.after(errors: Int) =
+        LiveOutcome.Complete(status, headers, body, signature, source, errors)
 
     private companion object {
         const val FIRST_ERROR = 300
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -6,8 +6,10 @@
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.OutgoingRequest
+import dev.vanillarun.hosted.target.attributes
 import io.ktor.http.Headers
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
@@ -76,6 +78,12 @@
     }
 }
 
+/** Where a response came from, for events. */
+internal class ResponseSource(private val target: TargetId, private val connection: ConnectionUse?) {
+    /** Attributes of events that name the source. */
+    val attributes: Map<String, String> get() = connection.attributes() + ("target" to target.value)
+}
+
 /** Outcome of a request of a live caller. */
 internal sealed interface LiveOutcome {
     /** A complete response; [serverErrors] counts the attempts that got a server error, including this one. */
@@ -84,6 +92,7 @@
         val headers: Headers,
         val body: ByteArray,
         val signature: String?,
+        val source: ResponseSource,
         val serverErrors: Int = 0,
     ) : LiveOutcome
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.daemon.forward.HeaderRules
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.Activity
 import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
@@ -16,6 +17,7 @@
 import dev.vanillarun.hosted.target.TargetDialect
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
+import dev.vanillarun.hosted.target.attributes
 import dev.vanillarun.hosted.target.withStallLimit
 import io.ktor.http.Headers
 import kotlinx.coroutines.withTimeoutOrNull
@@ -83,6 +85,7 @@
         private var lastEventAt: Instant? = null
         private var failure: LiveOutcome.Complete? = null
         private var reason = chooser.reasonForNone(request.route)
+        private var connection: ConnectionUse? = null
 
         suspend fun run(): LiveOutcome {
             do {
@@ -142,6 +145,7 @@
             val begun = clock.now()
             request.onPassedOn(replica.id, begun)
             lastEventAt = null
+            connection = null
             val from = lastId
             val outgoing = request.outgoing(begun, from.takeIf { it > 0 })
             val sent = if (resumable) {
@@ -153,18 +157,26 @@
             }
             val end = when (sent) {
                 null -> Outcome.Interrupted("no event was received for $STALL_TIMEOUT").also { tracker.failed(replica) }
+
                 is SendResult.Answered -> sent.value
+
                 is SendResult.NotRun -> Outcome.NotRun(sent.reason)
-                is SendResult.Unknown -> Outcome.Interrupted(sent.reason, byTarget = true)
+
+                is SendResult.Unknown -> {
+                    connection = sent.connection
+                    Outcome.Interrupted(sent.reason, byTarget = true)
+                }
             }
             if (end !is Outcome.NotRun) request.markRunning(begun)
             if (end is Outcome.Interrupted && end.byTarget) crashes.targetDisconnected(request, replica)
-            if (end == Outcome.Complete) crashes.completed(request) else record(replica, end, from, clock.now() - begun)
+            if (end == Outcome.Complete) crashes.completed(request)
+            record(replica, end, from, clock.now() - begun)
             return end
         }
 
         private suspend fun forwardResponse(answer: OpenedResponse, activity: Activity, replica: Replica): Outcome {
             activity.received()
+            connection = answer.connection
             val status = answer.head.status
             if (status < FIRST_ERROR && answer.head.signature == null) {
                 return Outcome.Interrupted("a success without a signature")
@@ -172,7 +184,8 @@
             if (status != OK) {
                 val body = answer.readBody(MAX_RESPONSE_BYTES) ?: return Outcome.Interrupted("a broken answer")
                 val headers = HeaderRules.towardsCaller(answer.headers)
-                return Outcome.NonStream(LiveOutcome.Complete(status, headers, body, answer.head.signature))
+                val source = ResponseSource(replica.id, answer.connection)
+                return Outcome.NonStream(LiveOutcome.Complete(status, headers, body, answer.head.signature, source))
             }
             if (!opened) {
                 opened = true
@@ -223,7 +236,7 @@
                 "to_event" to "$lastId",
                 "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
                 "outcome" to end.describe(),
-            )
+            ) + connection.attributes()
             events.record("stream.attempt_ended", EventLinks(request = request.id), attributes)
         }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
@@ -2,7 +2,9 @@
 
 import dev.vanillarun.daemon.caller.BufferedBodies
 import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.daemon.target.ResponseBody
+import dev.vanillarun.daemon.target.TargetResponse
 import io.ktor.http.Headers
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
@@ -11,12 +13,18 @@
 public class OpenedResponse(
     /** Decoded status and headers. */
     public val head: ResponseHead,
-    /** All headers as received. */
-    public val headers: Headers,
-    /** Body, still being received. */
-    public val body: ResponseBody,
+    private val response: TargetResponse,
     private val buffers: BufferedBodies,
 ) {
+    /** All headers as received. */
+    public val headers: Headers get() = response.headers
+
+    /** Body, still being received. */
+    public val body: ResponseBody get() = response.body
+
+    /** Use of the connection that carries the response; null if unknown. */
+    public val connection: ConnectionUse? get() = response.connection
+
     /**
      * Reads the rest of the body; null if it is truncated, exceeds [limit] bytes, or if the process buffers too much
      * of other responses. A body that fits into a small buffer is read whatever the others take.
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -2,7 +2,11 @@
 
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.daemon.caller.BufferedBodies
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.daemon.target.ExchangeResult
+import dev.vanillarun.daemon.target.StrayAnswer
+import dev.vanillarun.daemon.target.StrayAnswerListener
+import dev.vanillarun.daemon.target.StrayKind
 import dev.vanillarun.daemon.target.TargetClient
 import dev.vanillarun.daemon.target.TargetRequest
 import kotlinx.coroutines.withTimeoutOrNull
@@ -28,6 +32,8 @@
     public data class Unknown(
         /** Cause, for events and refusals. */
         public val reason: String,
+        /** Use of the connection on which the request was sent; null if unknown. */
+        public val connection: ConnectionUse? = null,
     ) : SendResult<Nothing>
 }
 
@@ -37,6 +43,7 @@
     private val dialect: TargetDialect,
     private val tracker: TargetTracker,
     private val departures: DepartureBoard,
+    private val strays: StrayAnswerListener = StrayAnswerListener {},
     private val buffers: BufferedBodies = BufferedBodies(Runtime.getRuntime().maxMemory() / BUFFERS_OF_HEAP),
 ) {
     /** Bytes of responses that are being received whole; those that fit into a small buffer are not counted. */
@@ -61,12 +68,13 @@
             headers = dialect.headers(request, replica),
             body = request.body,
             sendGuard = { departures.mayReceive(replica) },
+            id = request.id,
         )
         tracker.requestStarted(replica)
         try {
             val exchange = client.exchange(outgoing) { answer ->
                 val head = dialect.head(answer.status, answer.headers)
-                validate(request, replica, OpenedResponse(head, answer.headers, answer.body, buffers), handle)
+                validate(request, replica, OpenedResponse(head, answer, buffers), handle)
             }
             return toResult(exchange, replica)
         } finally {
@@ -84,7 +92,12 @@
         departures.responseReceived(replica, head, request.kind)
         val isMisdirected = head.wrongTarget && (head.requestId == null || head.requestId == request.id)
         if (isMisdirected) return SendResult.NotRun("another target answers", wrongTarget = true)
-        if (head.requestId != request.id) return SendResult.Unknown("an answer to another request")
+        if (head.requestId != request.id) {
+            val detail = "status ${head.status} to ${head.requestId ?: "no request"}"
+            val kind = StrayKind.OTHER_REQUEST
+            strays.received(StrayAnswer(replica.address, kind, answer.connection, request.id, detail))
+            return SendResult.Unknown("an answer to another request", answer.connection)
+        }
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
         withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { answer.readBody(MAX_REFUSAL_BYTES) }
@@ -99,7 +112,9 @@
             wrongTarget = false,
         ).also { tracker.failed(replica) }
 
-        is ExchangeResult.Broken -> SendResult.Unknown(result.reason).also { tracker.failed(replica) }
+        is ExchangeResult.Broken -> SendResult.Unknown(result.reason, result.connection).also {
+            tracker.failed(replica)
+        }
 
         ExchangeResult.DeadConnection -> SendResult.Unknown("the connection is dead").also { tracker.failed(replica) }
     }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -131,19 +131,22 @@
         return TargetResponse(200, headers, ResponseBody { parts.removeFirst() })
     }
 
-    private fun endless(behaviour: Behaviour.Endless, id: String) =
-        TargetResponse(200, headersOf("id" to listOf(id), "signature" to listOf("s"))) {
+    private fun endless(behaviour: Behaviour.Endless, id: String): TargetResponse {
+        val body = ResponseBody {
             delay(behaviour.interval)
             yield()
             BodyPart.Bytes(behaviour.chunk)
         }
+        return TargetResponse(200, headersOf("id" to listOf(id), "signature" to listOf("s")), body)
+    }
 
     private fun slow(behaviour: Behaviour.SlowStream, requestHeaders: Headers): TargetResponse {
         val events = stream(Behaviour.EventStream(), requestHeaders)
-        return TargetResponse(events.status, events.headers) {
+        val body = ResponseBody {
             delay(behaviour.interval)
             events.body.next()
         }
+        return TargetResponse(events.status, events.headers, body)
     }
 
     override fun headers(request: OutgoingRequest, replica: Replica): Headers =
