Refuse a head that holds the status line of a second response

Cause: a target sent the start of a second copy of an answer, and then the next request's own answer. Netty's decoder keeps the incomplete head while the connection is idle and joins it to the next one; cut within the reason phrase or a field's value, both make one well-formed head: status of the first, fields and so the identity of the second. The class: an answer is taken for the request's own by fields of its head, while nothing says that the head is one message.

core.answer states what the head of a single response is. Wherever the first head is cut, the status line of the second stands within a line of the joined head; DecodedHead.fault finds it, as a law over any cut of any two heads. The client refuses such a head like any bytes that are no answer. It also gives a connection up when bytes follow an answer or arrive while it is idle, whole or not, before they can be joined to anything.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -1,5 +1,7 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.DecodedHead
+import dev.vanillarun.core.answer.fault
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
 import io.netty.channel.Channel
@@ -43,6 +45,9 @@
     @Volatile
     private var keepAlive = false
 
+    @Volatile
+    private var followed = false
+
     /** Idle timeout from the server's `Keep-Alive` header; null if it sent none. */
     @Volatile
     var idleTimeout: Duration? = null
@@ -74,8 +79,12 @@
     /** Bytes of the body that were received and not yet read by [next]. */
     val bufferedBytes: Int get() = buffered.get()
 
-    /** True if the request was written and the response read completely, and both sides keep the connection open. */
-    val isReusable: Boolean get() = finished && consumed && keepAlive && written?.isSuccess == true && channel.isActive
+    /**
+     * True if the request was written and the response read completely, nothing followed it, and both sides keep the
+     * connection open.
+     */
+    val isReusable: Boolean
+        get() = finished && consumed && keepAlive && !followed && written?.isSuccess == true && channel.isActive
 
     /**
      * Sends [request] with [id] and routes what the channel receives to this exchange; false if the channel was closed
@@ -116,6 +125,11 @@
             fail("not HTTP: ${message.decoderResult().cause().summary()}")
             return false
         }
+        val fault = (message as? HttpResponse)?.decodedHead()?.fault()
+        if (fault != null) {
+            fail("not the head of one answer: $fault")
+            return false
+        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent && !interim) onContent(message)
         if (message is LastHttpContent) {
@@ -150,6 +164,11 @@
         parts.close()
     }
 
+    /** Records that more bytes than the response were received; to be called before its end is. */
+    fun onExcess() {
+        followed = true
+    }
+
     /** Fails the exchange: a reader of the head or the body sees [reason]. */
     fun fail(reason: String) {
         failure = reason
@@ -167,4 +186,7 @@
     }
 }
 
+private fun HttpResponse.decodedHead() =
+    DecodedHead(protocolVersion().text(), status().reasonPhrase(), headers().map { it.key to it.value })
+
 internal fun Throwable.summary(): String = "${this::class.simpleName}: ${message.orEmpty()}"
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -3,10 +3,13 @@
 import dev.vanillarun.daemon.fake.send
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import kotlinx.coroutines.CompletableDeferred
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.seconds
@@ -17,12 +20,23 @@
     DescribeSpec({
         val strays = CopyOnWriteArrayList<StrayAnswer>()
 
-        suspend fun with(answers: List<String>, test: suspend (suspend (String) -> ExchangeResult<Unit>) -> Unit) {
+        var connections = { 0 }
+
+        suspend fun with(
+            answers: List<String>,
+            onRequest: (Socket) -> Unit = {},
+            test: suspend (suspend (String) -> ExchangeResult<Unit>) -> Unit,
+        ) {
             val left = AtomicReference(answers)
             strays.clear()
             NettyTargetClient().use { client ->
                 client.onStrayAnswer { strays += it }
-                KeepAliveServer({ send(left.getAndUpdate { it.drop(1) }.first()) }).use { server ->
+                val respond: Socket.(String) -> Unit = {
+                    onRequest(this)
+                    send(left.getAndUpdate { it.drop(1) }.first())
+                }
+                KeepAliveServer(respond).use { server ->
+                    connections = { server.connections.get() }
                     test { id ->
                         client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty, id = id)) {
                             it.body.next() shouldBe BodyPart.End(clean = true)
@@ -33,11 +47,32 @@
         }
 
         // Nothing told how often targets stutter, nor on which connection.
-        it("bytes on an idle connection are reported with the request before, also if they are no whole message") {
-            with(listOf(OK + "HTTP/1.1 2")) { exchange ->
+        it("bytes after an answer are reported, and no exchange follows them, also if they are no whole message") {
+            with(listOf(OK + "HTTP/1.1 2", OK)) { exchange ->
                 exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
                 eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.EXCESS) }
                 strays.single().connection?.exchange shouldBe 1
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                connections() shouldBe 2
+            }
+        }
+        it(
+            "bytes on an idle connection are reported, and no exchange follows them, also if they are no whole message",
+        ) {
+            val left = CompletableDeferred<Socket>()
+            with(listOf(OK, OK), onRequest = { left.complete(it) }) { exchange ->
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                left.await().send("HTTP/1.1 2")
+                eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.IDLE) }
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                connections() shouldBe 2
+            }
+        }
+        it("an interim response is none, and the final one that follows it is the answer") {
+            with(listOf("HTTP/1.1 100 Continue\r\n\r\n$OK", OK)) { exchange ->
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                strays.shouldBeEmpty()
             }
         }
         it("bytes that are no answer are reported with the request that waits and the one before") {
