Send each request id over a connection once

Cause: the identity of the request is not one of the attempt, and the protocol names none of the attempt. A connection does: a copy comes on the connection of its answer. So a connection now remembers the ids it has carried and gets none twice; it is retired after 1,000. NettyTargetClient also honours TargetRequest.freshConnection, which it ignored.

StrayAnswerTest, "a late copy of an answer is not taken for the answer to a repetition of its request": red before (the copy's 500 in place of 200), green after. 30 tests of the client pass. Not shown here at the level of items.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
@@ -10,18 +10,25 @@
 
 /** Idle connections by `host:port`, reused last in, first out. */
 internal class ConnectionPool(private val time: TimeSource = TimeSource.Monotonic) {
-    private class Idle(val channel: Channel, val expiry: TimeMark)
+    private class Idle(val channel: Channel, val expiry: TimeMark) {
+        val isExpired: Boolean get() = expiry.hasPassedNow() || !channel.isActive
+
+        fun mayCarry(id: String?): Boolean = channel.exchanges()?.mayCarry(id) ?: false
+    }
 
     private val idle = ConcurrentHashMap<String, ArrayDeque<Idle>>()
 
-    /** Removes and returns a usable idle connection to [address], or null if there is none; resets expired ones. */
-    fun take(address: String): Channel? {
+    /**
+     * Removes and returns a usable idle connection to [address] that may carry a request with [id], or null if there is
+     * none; resets expired ones.
+     */
+    fun take(address: String, id: String? = null): Channel? {
         var found: Channel? = null
         idle.computeIfPresent(address) { _, connections ->
-            while (found == null && connections.isNotEmpty()) {
-                val next = connections.removeLast()
-                if (next.expiry.hasPassedNow() || !next.channel.isActive) next.channel.reset() else found = next.channel
-            }
+            connections.removeAll { it.isExpired.also { expired -> if (expired) it.channel.reset() } }
+            val usable = connections.lastOrNull { it.mayCarry(id) }
+            if (usable != null) connections.remove(usable)
+            found = usable?.channel
             connections.takeIf { it.isNotEmpty() }
         }
         return found
@@ -31,7 +38,7 @@
     fun has(address: String): Boolean {
         var found = false
         idle.computeIfPresent(address) { _, connections ->
-            found = connections.any { !it.expiry.hasPassedNow() && it.channel.isActive }
+            found = connections.any { !it.isExpired }
             connections
         }
         return found
@@ -40,7 +47,11 @@
     /** Stores [channel] for reuse; [timeout] is the idle timeout that the server announced, null if it gave none. */
     fun put(address: String, channel: Channel, timeout: Duration?) {
         val keepFor = minOf(timeout?.minus(CLOSE_MARGIN) ?: DEFAULT_IDLE, MAX_IDLE)
-        if (keepFor <= Duration.ZERO || !channel.isActive) return channel.reset()
+        if (keepFor <= Duration.ZERO || !channel.isActive ||
+            channel.exchanges()?.isSpent != false
+        ) {
+            return channel.reset()
+        }
         idle.compute(address) { _, connections ->
             val all = connections ?: ArrayDeque()
             all.addLast(Idle(channel, time.markNow() + keepFor))
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.TimeSource
 
 /** Passes messages to the current exchange; a message that belongs to no exchange resets the connection. */
 internal class ExchangeHandler(private val strays: StrayAnswerListener = StrayAnswerListener {}) :
     ChannelInboundHandlerAdapter() {
     private val openedAt = TimeSource.Monotonic.markNow()
+    private val carriedIds = ConcurrentHashMap.newKeySet<String>()
     private var exchanges = 0
 
     /** Exchange that was started last on this connection; null before the first. */
@@ -22,10 +24,20 @@
     /** True if no exchange waits for bytes. */
     val isIdle: Boolean get() = current?.isOpen != true
 
+    /** True if the connection has carried too many ids to remember more, and must not be used again. */
+    val isSpent: Boolean get() = carriedIds.size >= MAX_REMEMBERED_IDS
+
+    /**
+     * True unless the connection has carried a request with [id]. A late copy of an answer names the same request as
+     * the answer itself; the connection is all that tells it from the answer to a repetition.
+     */
+    fun mayCarry(id: String?): Boolean = id == null || id !in carriedIds
+
     /** Routes what [channel] receives from now on to [exchange]; returns what it has carried before. */
     fun begin(exchange: NettyExchange, channel: Channel): ConnectionUse {
         val previous = current
         current = exchange
+        exchange.requestId?.let { carriedIds += it }
         exchanges++
         return ConnectionUse(channel.id().asShortText(), exchanges, openedAt.elapsedNow(), previous?.requestId)
     }
@@ -61,4 +73,11 @@
         current?.fail(cause.summary())
         context.channel().reset()
     }
+
+    private companion object {
+        const val MAX_REMEMBERED_IDS = 1_000
+    }
 }
+
+/** Handler of the exchanges on this channel; null if the channel is closed, which removes its handlers. */
+internal fun Channel.exchanges(): ExchangeHandler? = pipeline().get(ExchangeHandler::class.java)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -91,9 +91,7 @@
      * before, so that nothing is sent.
      */
     fun send(request: FullHttpRequest, id: String? = null): Boolean {
-        // Netty removes the handlers of a closed channel.
-        val handler: ExchangeHandler? = channel.pipeline().get(ExchangeHandler::class.java)
-        handler ?: return false
+        val handler = channel.exchanges() ?: return false
         requestId = id
         method = request.method().name()
         connection = handler.begin(this, channel)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -61,7 +61,8 @@
         }
         val uri = URI(request.url)
         val address = "${uri.host}:${uri.port}"
-        val channel = pool.take(address) ?: when (val connected = connect(uri)) {
+        val pooled = if (request.freshConnection) null else pool.take(address, request.id)
+        val channel = pooled ?: when (val connected = connect(uri)) {
             is ConnectResult.Open -> connected.channel
             is ConnectResult.Failed -> return ExchangeResult.NotSent(connected.reason)
         }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -20,7 +20,9 @@
     public val freshConnection: Boolean = false,
     /** Last check before the first byte is sent; clients that cannot check then do so before they connect. */
     public val sendGuard: SendGuard = SendGuard.Always,
-    /** Id that the answer has to name; null if answers to such requests name none. */
+    /**
+     * Id that the answer has to name; null if answers to such requests name none. No connection carries an id twice.
+     */
     public val id: String? = null,
 )
 
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -25,7 +25,7 @@
         suspend fun with(
             answers: List<String>,
             onRequest: (Socket) -> Unit = {},
-            test: suspend (suspend (String) -> ExchangeResult<Unit>) -> Unit,
+            test: suspend (suspend (String) -> ExchangeResult<Int>) -> Unit,
         ) {
             val left = AtomicReference(answers)
             strays.clear()
@@ -40,6 +40,7 @@
                     test { id ->
                         client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty, id = id)) {
                             it.body.next() shouldBe BodyPart.End(clean = true)
+                            it.status
                         }
                     }
                 }
@@ -49,10 +50,10 @@
         // Nothing told how often targets stutter, nor on which connection.
         it("bytes after an answer are reported, and no exchange follows them, also if they are no whole message") {
             with(listOf(OK + "HTTP/1.1 2", OK)) { exchange ->
-                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
                 eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.EXCESS) }
                 strays.single().connection?.exchange shouldBe 1
-                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
                 connections() shouldBe 2
             }
         }
@@ -61,17 +62,30 @@
         ) {
             val left = CompletableDeferred<Socket>()
             with(listOf(OK, OK), onRequest = { left.complete(it) }) { exchange ->
-                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
                 left.await().send("HTTP/1.1 2")
                 eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.IDLE) }
-                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
+                connections() shouldBe 2
+            }
+        }
+        // Items were given up after answers that their targets had not given: the copy of an answer to one attempt was
+        // taken for the answer to the next, which bore the same id.
+        it("a late copy of an answer is not taken for the answer to a repetition of its request") {
+            val copy = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+            val last = AtomicReference<Socket>()
+            with(listOf(copy, OK, OK), onRequest = { if (last.getAndSet(it) === it) it.send(copy) }) { exchange ->
+                exchange("one") shouldBe ExchangeResult.Answered(500)
+                exchange("one") shouldBe ExchangeResult.Answered(200)
+                connections() shouldBe 2
+                exchange("two")
                 connections() shouldBe 2
             }
         }
         it("an interim response is none, and the final one that follows it is the answer") {
             with(listOf("HTTP/1.1 100 Continue\r\n\r\n$OK", OK)) { exchange ->
-                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
-                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Unit>>()
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
+                exchange("second").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
                 strays.shouldBeEmpty()
             }
         }
