--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/ResponseHeadCheck.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/ResponseHeadCheck.kt
@@ -28,9 +28,9 @@
 /**
  * Fault of this head; null if it is the head of a single response.
  *
- * A head is decoded from two responses if a target sends the beginning of one, and then another as a whole. Wherever the
- * first is cut, the status line of the second stands within a line of the decoded head, or at the start of a line where
- * a field is due, which no decoder accepts.
+ * A head is decoded from two responses if a target sends the beginning of one, and then another as a whole. Wherever
+ * the first is cut, the status line of the second stands within a line of the decoded head, or at the start of a line
+ * where a field is due, which no decoder accepts.
  */
 public fun DecodedHead.fault(): HeadFault? = when {
     version !in Versions -> HeadFault.Version(version)
