Judge the received bytes of a head, not its decoded fields

ResponseDecoder now keeps the bytes of a head until it is complete and has statusLineFault judge them: a head begins with a status line of HTTP/1 and holds no other. Three digits have to end there, so that "Via: HTTP/1.1 192.0.2.1" is none; a field such as "Status: HTTP/1.1 200 OK" is refused. A connection remembers 256 ids in place of 1,000, which take memory.

--- /dev/null
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/HeadFault.kt
@@ -0,0 +1,16 @@
+package dev.vanillarun.core.answer
+
+/** Reason for which the head of a response must not be used. */
+public sealed interface HeadFault {
+    /** The message does not begin with the status line of HTTP/1. */
+    public data class NoStatusLine(
+        /** Beginning of the first line as received. */
+        public val received: String,
+    ) : HeadFault
+
+    /** The head holds the status line of another response, so that its parts belong to different responses. */
+    public data class SecondStatusLine(
+        /** Number of the line that holds it, from 1. */
+        public val line: Int,
+    ) : HeadFault
+}
--- /dev/null
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineCheck.kt
@@ -0,0 +1,47 @@
+package dev.vanillarun.core.answer
+
+/**
+ * Fault of the lines of a response's head, [text], as received; null if they begin with the status line of HTTP/1 and
+ * hold no other.
+ *
+ * A head is made of two responses if a target sends the beginning of one, and then another as a whole. Wherever the
+ * first is cut, the status line of the second follows within the text. Decoders drop parts of a head, for instance what
+ * stands between a name and its colon, so that decoded fields do not show it.
+ */
+public fun statusLineFault(text: String): HeadFault? = when {
+    FirstLine.matchAt(text, 0) == null -> HeadFault.NoStatusLine(text.lineSequence().first().take(SHOWN_CHARACTERS))
+    else -> StatusLine.find(text, startIndex = 1)?.let { HeadFault.SecondStatusLine(text.lineNumber(it.range.first)) }
+}
+
+/** Searches text that arrives in parts for the beginning of a status line. */
+public class StatusLineSearch {
+    private var tail = ""
+
+    /** True once the text has held the beginning of a status line. */
+    public var found: Boolean = false
+        private set
+
+    /** Continues the search with [part]. */
+    public fun feed(part: String) {
+        if (found) return
+        val text = tail + part
+        found = StatusLine.containsMatchIn(text)
+        tail = text.takeLast(MAX_CHARACTERS)
+    }
+
+    private companion object {
+        /** More than the beginning of a status line takes. */
+        const val MAX_CHARACTERS = 32
+    }
+}
+
+private fun String.lineNumber(index: Int): Int = 1 + substring(0, index).count { it == '\n' }
+
+/** Enough of a first line to recognize what was sent. */
+private const val SHOWN_CHARACTERS = 40
+
+/** RFC 9112, section 4. */
+private val FirstLine = Regex("""HTTP/1\.[01] \d{3}(?!\S)""")
+
+/** Beginning of a status line with the case, spaces and numbers that lenient decoders accept. */
+private val StatusLine = Regex("""HTTP/\d+\.\d+\s+\+?\d+(?!\S)""", RegexOption.IGNORE_CASE)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
@@ -75,7 +75,7 @@
     }
 
     private companion object {
-        const val MAX_REMEMBERED_IDS = 1_000
+        const val MAX_REMEMBERED_IDS = 256
     }
 }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -1,7 +1,5 @@
 package dev.vanillarun.daemon.target
 
-import dev.vanillarun.core.answer.DecodedHead
-import dev.vanillarun.core.answer.fault
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
 import io.netty.channel.Channel
@@ -123,11 +121,6 @@
             fail("not HTTP: ${message.decoderResult().cause().summary()}")
             return false
         }
-        val fault = (message as? HttpResponse)?.decodedHead()?.fault()
-        if (fault != null) {
-            fail("not the head of one answer: $fault")
-            return false
-        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent && !interim) onContent(message)
         if (message is LastHttpContent) {
@@ -184,7 +177,4 @@
     }
 }
 
-private fun HttpResponse.decodedHead() =
-    DecodedHead(protocolVersion().text(), status().reasonPhrase(), headers().map { it.key to it.value })
-
 internal fun Throwable.summary(): String = "${this::class.simpleName}: ${message.orEmpty()}"
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -1,13 +1,16 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.statusLineFault
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
+import java.net.ProtocolException
 
 /**
  * Decodes the responses of one connection. Bytes that follow a response, or that arrive while no exchange waits for
@@ -15,6 +18,9 @@
  */
 internal class ResponseDecoder(private val exchanges: ExchangeHandler, config: HttpDecoderConfig) :
     HttpResponseDecoder(config) {
+    private val head = StringBuilder()
+    private var readsHead = true
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         exchanges.current?.method == "HEAD" || super.isContentAlwaysEmpty(message)
 
@@ -26,13 +32,26 @@
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        val start = buffer.readerIndex()
         super.decode(context, buffer, out)
+        if (readsHead) checkHead(buffer.toString(start, buffer.readerIndex() - start, Charsets.ISO_8859_1), out)
+        if (out.lastOrNull() is LastHttpContent) readsHead = true
         if (!buffer.isReadable || !out.endsResponse()) return
         exchanges.reportStray(context.channel(), StrayKind.EXCESS, "${buffer.readableBytes()} bytes")
         exchanges.current?.onExcess()
         buffer.skipBytes(buffer.readableBytes())
     }
 
+    /** Adds [part] to the head, and checks it once the decoder has seen its end. */
+    private fun checkHead(part: String, out: List<Any>) {
+        head.append(part)
+        val response = out.firstNotNullOfOrNull { it as? HttpResponse } ?: return
+        val fault = statusLineFault(head.toString())
+        if (fault != null) response.decoderResult = DecoderResult.failure(ProtocolException("$fault"))
+        head.clear()
+        readsHead = false
+    }
+
     /** True if the last of these messages ends a final response. */
     private fun List<Any>.endsResponse(): Boolean {
         val last = lastOrNull() as? LastHttpContent ?: return false
