Run a caller's request only if it arrived as one whole message

Other malformed chunks and chunks in HTTP/1.0 were not refused clearly either.

Cause: FrontServer took what Ktor returns as the body. Ktor's engine ends a body without an error when the connection ends, and takes the decoder's report of a fault for the last content.

WholeRequests, behind the codec, notes for each request how its message ended, and only a last content that was decoded without a fault lets it run. Anything else gets a 400, or 501 for an unknown coding, that names the place and the mend. Nothing after a message whose end cannot be known is read as a request, and the connection ends with its response. That response is found by the order of responses, as those ahead of it may be written but not flushed; a drain, which announces the close in the same place, now counts likewise.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
@@ -69,10 +69,11 @@
     public fun unanswered(limit: Int): List<UnansweredRequest> =
         open.asSequence().mapNotNull { it.unanswered() }.take(limit).toList()
 
-    /** Adds the idle timeout and the tracking handler to the pipeline of a newly accepted connection. */
+    /** Adds the idle timeout, tracking and the check for whole requests to the pipeline of a new connection. */
     public fun track(pipeline: ChannelPipeline) {
         pipeline.addFirst(IdleStateHandler(0, 0, idleSeconds, TimeUnit.SECONDS))
         pipeline.addAfter(CODEC, "connections", Tracker())
+        pipeline.addAfter(CODEC, "whole-requests", WholeRequests())
     }
 
     /** Handler that registers a listening channel, so that [stopAccepting] can close it. */
@@ -117,6 +118,9 @@
         private var used = false
         private var closing = false
 
+        /** Number of requests whose response has not begun; those before it may still wait to be flushed. */
+        private var responsesDue = 0
+
         @Volatile
         private var newest: ReadRequest? = null
         private val openedAt = TimeSource.Monotonic.markNow()
@@ -143,13 +147,14 @@
         private fun requestStarted(request: HttpRequest) {
             newest = ReadRequest(idHeader?.let { request.headers()[it] }, TimeSource.Monotonic.markNow())
             requests++
+            responsesDue++
             used = true
             arrivalCount.incrementAndGet()
         }
 
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             val interim = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
-            if (message is HttpResponse && !interim) announceClose(message)
+            if (message is HttpResponse && !interim) announceClose(context, message)
             if (message is LastHttpContent && !interim) promise.addListener { responseSent(context) }
             if (message is LastHttpContent && context.channel().hasAttr(BROKEN_OFF)) {
                 context.flush()
@@ -160,8 +165,9 @@
         }
 
         /** A pipelined request is answered before the connection is closed. */
-        private fun announceClose(response: HttpResponse) {
-            closing = closeAfterResponse && requests == 1
+        private fun announceClose(context: ChannelHandlerContext, response: HttpResponse) {
+            responsesDue--
+            closing = (closeAfterResponse || context.channel().hasAttr(LAST_REQUEST)) && responsesDue == 0
             if (closing) response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -6,10 +6,12 @@
 import dev.vanillarun.core.catalog.KeyDecision
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.authorize
+import dev.vanillarun.core.request.RequestFault
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.daemon.caller.messageFault
 import dev.vanillarun.daemon.forward.HeaderRules
 import dev.vanillarun.daemon.stream.CallerStream
 import dev.vanillarun.hosted.catalog.CatalogSource
@@ -95,7 +97,9 @@
         val metadata = dialect.metadata(head)
         metadata.id?.let { call.response.header(dialect.idHeader, it) }
         val body = call.receive<ByteArray>()
-        val reply = handleAndRespond(call, IncomingRequest(head, metadata, body, received, tracked))
+        val request = IncomingRequest(head, metadata, body, received, tracked)
+        val fault = call.messageFault()
+        val reply = if (fault == null) handleAndRespond(call, request) else refuse(call, fault)
         val elapsed = clock.now() - received
         calls.recordResponse(reply.status, elapsed)
         val attributes = mapOf(
@@ -110,6 +114,9 @@
         events.record(name, EventLinks(request = metadata.id), attributes)
     }
 
+    private suspend fun refuse(call: ApplicationCall, fault: RequestFault): Reply =
+        Reply.faulty(fault).also { call.send(it) }
+
     /** Handles [request], sends the response and returns it; the events of a stream are sent as they arrive. */
     private suspend fun handleAndRespond(call: ApplicationCall, request: IncomingRequest): Reply = coroutineScope {
         val stream = CallerStream(call, this)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/Reply.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/Reply.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.hosted.front
 
+import dev.vanillarun.core.request.RequestFault
 import dev.vanillarun.hosted.live.LiveOutcome
 import dev.vanillarun.hosted.live.ResponseSource
 import io.ktor.http.Headers
@@ -31,11 +32,21 @@
 ) {
     companion object {
         private const val OK = 200
+        private const val BAD_REQUEST = 400
+        private const val NOT_IMPLEMENTED = 501
         private const val NOT_RUN = 503
 
         /** The request has not run and will not run; the caller may retry after [retryAfter]. */
         fun notRun(reason: String, retryAfter: Duration) = Reply(NOT_RUN, reason, retryAfter = retryAfter)
 
+        /** The request is invalid; [message] names the place and the mend to the caller. */
+        fun malformed(message: String, status: Int = BAD_REQUEST): Reply =
+            content(status, "malformed: $message", "$message\n".encodeToByteArray(), "text/plain; charset=utf-8")
+
+        /** The request has [fault] and was not run. */
+        fun faulty(fault: RequestFault): Reply =
+            malformed(fault.message, if (fault is RequestFault.UnknownCoding) NOT_IMPLEMENTED else BAD_REQUEST)
+
         /** The response was already sent as a stream with this [outcome]. */
         fun streamed(outcome: LiveOutcome.Streamed): Reply {
             val end = if (outcome.complete) StreamEnd.COMPLETE else StreamEnd.ABORTED
