Refuse requests with a repeated single header or an undecodable query

Callers with two Authorization or two Request-Id fields were served by the first, while another reader may take the last; a query with %zz got a 500 with the text of an exception.

Cause: the dialect reads the first of several values, and decoded the query without a case for one that is invalid. The dialect now names the headers that a request may have once, and reports such a query as malformed. Both get a 400 that names the place and the mend, and so do "after" and "id" of the calls for jobs, whose 400 had an empty body.

MalformedRequestsTest, "a message that can be read in two ways", red on at its first case, two keys (200 in place of 400; the cases after it were not reached), green now. An exception from another defect would still show its text.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/request/RequestFault.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/request/RequestFault.kt
@@ -31,6 +31,15 @@
         override val message: String
             get() = "body: the connection ended before the body; send it whole"
     }
+
+    /** A field that may stand once stands several times. */
+    public data class RepeatedField(
+        /** Name of the field. */
+        public val name: String,
+    ) : RequestFault {
+        override val message: String
+            get() = "$name: stands more than once; send it once"
+    }
 }
 
 /** Fault of a request of [version] whose fields `Transfer-Encoding` are [codings]; null if its body's end is known. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallerDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallerDialect.kt
@@ -53,7 +53,7 @@
 
     /** The request is invalid. */
     public data class Malformed(
-        /** Reason for the response's log entry. */
+        /** Names the place of the fault and its mend, for the caller. */
         public val message: String,
     ) : CallerCall
 }
@@ -95,6 +95,9 @@
     /** Name of the header that carries the request id. */
     public val idHeader: String
 
+    /** Names of the headers that a request may have once; one with several is refused, as each may be meant. */
+    public val singleHeaders: Set<String>
+
     /** Maps [head] to an operation; [CallerCall.Malformed] if it is invalid. */
     public fun call(head: RequestHead): CallerCall
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -98,7 +98,7 @@
         metadata.id?.let { call.response.header(dialect.idHeader, it) }
         val body = call.receive<ByteArray>()
         val request = IncomingRequest(head, metadata, body, received, tracked)
-        val fault = call.messageFault()
+        val fault = call.messageFault() ?: repeatedField(head)
         val reply = if (fault == null) handleAndRespond(call, request) else refuse(call, fault)
         val elapsed = clock.now() - received
         calls.recordResponse(reply.status, elapsed)
@@ -114,6 +114,10 @@
         events.record(name, EventLinks(request = metadata.id), attributes)
     }
 
+    private fun repeatedField(head: RequestHead): RequestFault? = dialect.singleHeaders.firstOrNull {
+        head.headers.getAll(it).orEmpty().size > 1
+    }?.let(RequestFault::RepeatedField)
+
     private suspend fun refuse(call: ApplicationCall, fault: RequestFault): Reply =
         Reply.faulty(fault).also { call.send(it) }
 
@@ -138,7 +142,7 @@
     private suspend fun reply(request: IncomingRequest, sink: StreamSink): Reply {
         val currentCatalog = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY_AFTER)
         return when (val operation = dialect.call(request.head)) {
-            is CallerCall.Malformed -> Reply(BAD_REQUEST, "malformed: ${operation.message}")
+            is CallerCall.Malformed -> Reply.malformed(operation.message)
             CallerCall.Request -> handleRouteRequest(currentCatalog, request, sink)
             else -> handleJobCall(operation, currentCatalog, request)
         }
@@ -234,7 +238,6 @@
     private companion object {
         const val OK = 200
         const val FIRST_ERROR = 400
-        const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
         const val BAD_GATEWAY = 502
