Answer a call whose handler throws without the text of the exception

Callers got the text of an exception in a 500, for instance "Wrong HEX escape: %zz, in a=%zz, at 2" for a query.

Cause: Ktor's engine puts the message of an exception that no one handles into the response. HttpServer, which all servers of the instance use, now answers such a call with the status alone; the exception goes to the log as before. A call whose response has begun, or whose caller has left, ends as before.

FailedCallTest: red without the change (body "the text" in place of an empty one), green now, with the 9 tests of MalformedRequestsTest and DrainRaceTest.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/HttpServer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/HttpServer.kt
@@ -1,11 +1,17 @@
 package dev.vanillarun.daemon
 
 import dev.vanillarun.daemon.caller.Connections
+import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
+import io.ktor.server.engine.defaultExceptionStatusCode
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
+import io.ktor.server.response.respond
+import kotlinx.coroutines.CancellationException
+import kotlinx.io.IOException
 
 /** HTTP server that has bound its address and accepts requests. */
 public class HttpServer private constructor(
@@ -44,7 +50,10 @@
                         channelPipelineConfig = { connections.track(this) }
                     }
                 },
-                module = module,
+                module = {
+                    hideFailures()
+                    module()
+                },
             )
             server.startSuspend(wait = false)
             val port = server.engine.resolvedConnectors().first().port
@@ -52,3 +61,19 @@
         }
     }
 }
+
+/** Answers a call whose handler throws without the text of the exception, which goes to the log. */
+@Suppress("TooGenericExceptionCaught") // Any defect that one request brings to light.
+private fun Application.hideFailures() = intercept(ApplicationCallPipeline.Setup) {
+    try {
+        proceed()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: IOException) {
+        throw e
+    } catch (e: Exception) {
+        if (context.response.isCommitted) throw e
+        this@hideFailures.environment.log.error("a call failed", e)
+        context.respond(defaultExceptionStatusCode(e) ?: HttpStatusCode.InternalServerError)
+    }
+}
