--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -6,10 +6,12 @@
 import dev.vanillarun.core.catalog.KeyDecision
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.authorize
+import dev.vanillarun.core.request.RequestFault
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.daemon.caller.messageFault
 import dev.vanillarun.daemon.forward.HeaderRules
 import dev.vanillarun.daemon.stream.CallerStream
 import dev.vanillarun.hosted.catalog.CatalogSource
@@ -95,7 +97,9 @@
         val metadata = dialect.metadata(head)
         metadata.id?.let { call.response.header(dialect.idHeader, it) }
         val body = call.receive<ByteArray>()
-        val reply = handleAndRespond(call, IncomingRequest(head, metadata, body, received, tracked))
+        val request = IncomingRequest(head, metadata, body, received, tracked)
+        val fault = call.messageFault() ?: repeatedField(head)
+        val reply = if (fault == null) handleAndRespond(call, request) else refuse(call, fault)
         val elapsed = clock.now() - received
         calls.recordResponse(reply.status, elapsed)
         val attributes = mapOf(
@@ -110,6 +114,13 @@
         events.record(name, EventLinks(request = metadata.id), attributes)
     }
 
+    private fun repeatedField(head: RequestHead): RequestFault? = dialect.singleHeaders.firstOrNull {
+        head.headers.getAll(it).orEmpty().size > 1
+    }?.let(RequestFault::RepeatedField)
+
+    private suspend fun refuse(call: ApplicationCall, fault: RequestFault): Reply =
+        Reply.faulty(fault).also { call.send(it) }
+
     /** Handles [request], sends the response and returns it; the events of a stream are sent as they arrive. */
     private suspend fun handleAndRespond(call: ApplicationCall, request: IncomingRequest): Reply = coroutineScope {
         val stream = CallerStream(call, this)
@@ -131,7 +142,7 @@
     private suspend fun reply(request: IncomingRequest, sink: StreamSink): Reply {
         val currentCatalog = catalog.catalog.value ?: return Reply.notRun("no catalog yet", NOT_READY_RETRY_AFTER)
         return when (val operation = dialect.call(request.head)) {
-            is CallerCall.Malformed -> Reply(BAD_REQUEST, "malformed: ${operation.message}")
+            is CallerCall.Malformed -> Reply.malformed(operation.message)
             CallerCall.Request -> handleRouteRequest(currentCatalog, request, sink)
             else -> handleJobCall(operation, currentCatalog, request)
         }
@@ -227,7 +238,6 @@
     private companion object {
         const val OK = 200
         const val FIRST_ERROR = 400
-        const val BAD_REQUEST = 400
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
         const val BAD_GATEWAY = 502
