Count only ended connections as crashes of a request's targets

Cause: every exchange without an answer of its own was a crash to CrashBoard; neither ExchangeResult.Broken nor SendResult.Unknown said what had ended it. Bytes that are no answer show a target that runs on, and may belong to another request.

Both now bear a BreakCause, and so does the end of a body: CONNECTION_ENDED (closed or reset, also within a head), INVALID_ANSWER, CONNECTION_SILENT. Only the first counts. A stream that ends in the middle of an event counts where only the end of the connection ends its body. Rule BUDGET stays: closes and resets before and within a head quarantine as before. As before, a body of a buffered answer that is cut by a close does not count.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/forward/AttemptRunner.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/forward/AttemptRunner.kt
@@ -12,6 +12,7 @@
 import dev.vanillarun.daemon.caller.ErrorType
 import dev.vanillarun.daemon.dispatch.RunningAttempt
 import dev.vanillarun.daemon.dispatch.SilenceMonitor
+import dev.vanillarun.daemon.target.BreakCause
 import dev.vanillarun.daemon.target.ExchangeResult
 import dev.vanillarun.daemon.target.TargetClient
 import dev.vanillarun.daemon.target.TargetResponse
@@ -73,7 +74,7 @@
             when (watched?.verdict) {
                 null -> throw e
                 ConnectionDecision.DEAD_CONNECTION -> ExchangeResult.DeadConnection
-                else -> ExchangeResult.Broken("target went silent")
+                else -> ExchangeResult.Broken("target went silent", cause = BreakCause.CONNECTION_SILENT)
             }
         } finally {
             watched?.let(silence::unwatch)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -91,7 +91,7 @@
                     handle(TargetResponse(head.status, head.headers, exchange, exchange.connection)),
                 )
 
-            is HeadReadResult.Broken -> ExchangeResult.Broken(head.reason, exchange.connection)
+            is HeadReadResult.Broken -> ExchangeResult.Broken(head.reason, exchange.connection, head.cause)
         }
     }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -38,6 +38,8 @@
     public data class End(
         /** True if the transport saw the regular end of the body; false if the connection broke. */
         public val clean: Boolean,
+        /** Why the body is not complete; null if it is. */
+        public val cause: BreakCause? = if (clean) null else BreakCause.CONNECTION_ENDED,
     ) : BodyPart
 }
 
@@ -73,12 +75,14 @@
         public val reason: String,
     ) : ExchangeResult<Nothing>
 
-    /** The connection broke before a response started; the target may have run the request. */
+    /** The exchange broke before a response started; the target may have run the request. */
     public data class Broken(
         /** Error as text, for events and logs. */
         public val reason: String,
         /** Use of the connection that broke; null if the client does not know. */
         public val connection: ConnectionUse? = null,
+        /** What the break tells about the target. */
+        public val cause: BreakCause = BreakCause.CONNECTION_ENDED,
     ) : ExchangeResult<Nothing>
 
     /** The connection is dead while the target responds on others; the target may have run the request. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/CrashBoard.kt
@@ -13,6 +13,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.daemon.target.BreakCause
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.store.TopicFollower
@@ -25,7 +26,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * View of the crashes topic: requests during which targets disconnected, as observed by all instances.
+ * View of the crashes topic: requests during which targets ended the connection, as observed by all instances.
  *
  * A request that never completes and disconnects one target after another is refused. Its sender may retry at any
  * instance, so the observations are shared through the store.
@@ -50,9 +51,12 @@
     fun crashedTargets(request: LiveRequest): Set<TargetId> =
         if (request.mayBeQuarantined) ledger.get().crashedTargets(request.fingerprint, clock.now()) else emptySet()
 
-    /** Records and shares that [replica] disconnected, or did not respond validly, while it ran [request]. */
-    fun targetDisconnected(request: LiveRequest, replica: Replica) {
-        if (!request.mayBeQuarantined) return
+    /**
+     * Records and shares that [request] got no complete answer of [replica] for [cause], if that looks like a crash.
+     * Bytes that are no answer do not: a target that sends them runs on, and they may belong to another request.
+     */
+    fun attemptBroke(request: LiveRequest, replica: Replica, cause: BreakCause) {
+        if (cause != BreakCause.CONNECTION_ENDED || !request.mayBeQuarantined) return
         val observation = CrashObservation(request.fingerprint.hex, replica.id)
         observe(observation)
         val value = Json.encodeToString(CrashObservation.serializer(), observation).encodeToByteArray()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -161,7 +161,7 @@
                 tracker.latencyObserved(replica, elapsed)
                 crashes.completed(request)
             }
-            if (sent is SendResult.Unknown) crashes.targetDisconnected(request, replica)
+            if (sent is SendResult.Unknown) crashes.attemptBroke(request, replica, sent.cause)
             val attributes = mapOf(
                 "target" to replica.id.value,
                 "attempt" to "${triedIds.size}",
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -9,6 +9,7 @@
 import dev.vanillarun.daemon.forward.HeaderRules
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.target.BreakCause
 import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.Activity
 import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
@@ -59,8 +60,8 @@
         /** The target has not run the request and will not. */
         class NotRun(val reason: String) : Outcome
 
-        /** The target may have run the request further than was forwarded; [byTarget] if it disconnected. */
-        class Interrupted(val reason: String, val byTarget: Boolean = false) : Outcome
+        /** The target may have run the request further than was forwarded; [cause] is null if this side stopped it. */
+        class Interrupted(val reason: String, val cause: BreakCause? = null) : Outcome
     }
 
     /** Forwards [request] and writes its events to [sink] until the stream ends or the deadline passes. */
@@ -164,11 +165,11 @@
 
                 is SendResult.Unknown -> {
                     connection = sent.connection
-                    Outcome.Interrupted(sent.reason, byTarget = true)
+                    Outcome.Interrupted(sent.reason, sent.cause)
                 }
             }
             if (end !is Outcome.NotRun) request.markRunning(begun)
-            if (end is Outcome.Interrupted && end.byTarget) crashes.targetDisconnected(request, replica)
+            if (end is Outcome.Interrupted) end.cause?.let { crashes.attemptBroke(request, replica, it) }
             if (end == Outcome.Complete) crashes.completed(request)
             record(replica, end, from, clock.now() - begun)
             return end
@@ -211,8 +212,10 @@
                 if (splitter.pending > MAX_EVENT_BYTES) return Outcome.Interrupted("an event is too long")
                 part = answer.body.next()
             }
-            val whole = part == BodyPart.End(clean = true) && splitter.pending == 0
-            return if (whole) Outcome.Complete else Outcome.Interrupted("the stream broke off", byTarget = true)
+            val end = part as BodyPart.End
+            if (end.clean && splitter.pending == 0) return Outcome.Complete
+            val cutCause = if (answer.endsWithConnection) BreakCause.CONNECTION_ENDED else BreakCause.INVALID_ANSWER
+            return Outcome.Interrupted("the stream broke off", end.cause ?: cutCause)
         }
 
         /** Forwards [bytes] if it is the next event; otherwise returns why the attempt ends. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.daemon.target.ResponseBody
 import dev.vanillarun.daemon.target.TargetResponse
 import io.ktor.http.Headers
+import io.ktor.http.HttpHeaders
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 
@@ -25,6 +26,10 @@
     /** Use of the connection that carries the response; null if unknown. */
     public val connection: ConnectionUse? get() = response.connection
 
+    /** True if only the end of the connection ends the body. */
+    public val endsWithConnection: Boolean
+        get() = HttpHeaders.ContentLength !in headers && HttpHeaders.TransferEncoding !in headers
+
     /**
      * Reads the rest of the body; null if it is truncated, exceeds [limit] bytes, or if the process buffers too much
      * of other responses. A body that fits into a small buffer is read whatever the others take.
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.daemon.caller.BufferedBodies
+import dev.vanillarun.daemon.target.BreakCause
 import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.daemon.target.ExchangeResult
 import dev.vanillarun.daemon.target.StrayAnswer
@@ -32,6 +33,8 @@
     public data class Unknown(
         /** Cause, for events and refusals. */
         public val reason: String,
+        /** What the result tells about the target. */
+        public val cause: BreakCause,
         /** Use of the connection on which the request was sent; null if unknown. */
         public val connection: ConnectionUse? = null,
     ) : SendResult<Nothing>
@@ -96,7 +99,7 @@
             val detail = "status ${head.status} to ${head.requestId ?: "no request"}"
             val kind = StrayKind.OTHER_REQUEST
             strays.received(StrayAnswer(replica.address, kind, answer.connection, request.id, detail))
-            return SendResult.Unknown("an answer to another request", answer.connection)
+            return SendResult.Unknown("an answer to another request", BreakCause.INVALID_ANSWER, answer.connection)
         }
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
@@ -112,11 +115,12 @@
             wrongTarget = false,
         ).also { tracker.failed(replica) }
 
-        is ExchangeResult.Broken -> SendResult.Unknown(result.reason, result.connection).also {
+        is ExchangeResult.Broken -> SendResult.Unknown(result.reason, result.cause, result.connection).also {
             tracker.failed(replica)
         }
 
-        ExchangeResult.DeadConnection -> SendResult.Unknown("the connection is dead").also { tracker.failed(replica) }
+        ExchangeResult.DeadConnection ->
+            SendResult.Unknown("the connection is dead", BreakCause.CONNECTION_SILENT).also { tracker.failed(replica) }
     }
 
     private fun note(refusal: SendResult.NotRun, replica: Replica) {
