Speak TLS to targets with https addresses in NettyTargetClient

What callers would see: docs/CONFIG.md allows targets with https addresses, and NettyTargetClient, which takes over the calls of the standalone daemon, sent plain HTTP to them: each call failed, with the target's credential and the body unencrypted on the wire. The JDK's client, in use there until now, speaks TLS.

Cause: the client ignored the scheme of the URL. Change: after the TCP connection it does the handshake, within the connect timeout, with the JDK's default context, and checks that the certificate names the target's address. A failed handshake is NotSent. Pooled connections are kept apart by scheme.

TlsTest: with the scheme ignored 2 of 2 red (Broken, "Line Feed must be preceded by Carriage Return"), green with the change; 32 tests of TlsTest, NettyTargetClientTest, StrayAnswerTest and EndlessAnswersTest pass. Not covered: an answer without a length whose TLS connection ends without close_notify counts as whole (read, not run).

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -17,9 +17,12 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.ssl.SslHandler
+import io.netty.util.concurrent.Future
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.net.URI
 import java.util.concurrent.TimeUnit
+import javax.net.ssl.SSLContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -30,7 +33,11 @@
  * and the target would run the request seconds after it was abandoned. A reset discards these bytes. Neither the JDK's
  * client nor Ktor's can reset a connection.
  */
-public class NettyTargetClient(private val connectTimeout: Duration = 1.seconds, threads: Int = 1) : TargetClient {
+public class NettyTargetClient(
+    private val connectTimeout: Duration = 1.seconds,
+    threads: Int = 1,
+    private val tls: SSLContext = SSLContext.getDefault(),
+) : TargetClient {
     private val group = NioEventLoopGroup(threads)
     private val pool = ConnectionPool()
 
@@ -60,7 +67,7 @@
             return ExchangeResult.NotSent("the request cannot be sent: ${e.message}")
         }
         val uri = URI(request.url)
-        val address = "${uri.host}:${uri.port}"
+        val address = if (uri.isTls) "https://${uri.authority}" else "${uri.host}:${uri.port}"
         val pooled = if (request.freshConnection) null else pool.take(address, request.id)
         val channel = pooled ?: when (val connected = connect(uri)) {
             is ConnectResult.Open -> connected.channel
@@ -109,16 +116,34 @@
 
     private suspend fun connect(uri: URI): ConnectResult = suspendCancellableCoroutine { continuation ->
         val connecting = bootstrap.connect(uri.host, uri.port)
+        val channel = connecting.channel()
+
+        fun finish(cause: Throwable?) {
+            if (cause != null) channel.reset()
+            val outcome = if (cause == null) ConnectResult.Open(channel) else ConnectResult.Failed(cause.summary())
+            // The waiting coroutine may be cancelled between this call and its own resumption.
+            continuation.resume(outcome) { _, _, _ -> channel.reset() }
+        }
         connecting.addListener {
-            val cause = connecting.cause()
-            val outcome = when {
-                cause != null -> ConnectResult.Failed("${cause::class.simpleName}: ${cause.message.orEmpty()}")
-                else -> ConnectResult.Open(connecting.channel())
+            if (connecting.isSuccess && uri.isTls) {
+                val handshake = channel.startTls(uri)
+                handshake.addListener { finish(handshake.cause()) }
+            } else {
+                finish(connecting.cause())
             }
-            // The waiting coroutine may be cancelled between this call and its own resumption.
-            continuation.resume(outcome) { _, _, _ -> connecting.channel().reset() }
         }
-        continuation.invokeOnCancellation { connecting.channel().reset() }
+        continuation.invokeOnCancellation { channel.reset() }
+    }
+
+    /** Encrypts the connection; the certificate of the target has to name its address. */
+    private fun Channel.startTls(uri: URI): Future<Channel> {
+        val engine = tls.createSSLEngine(uri.host.removeSurrounding("[", "]"), uri.port)
+        engine.useClientMode = true
+        engine.sslParameters = engine.sslParameters.apply { endpointIdentificationAlgorithm = "HTTPS" }
+        val handler = SslHandler(engine)
+        handler.handshakeTimeoutMillis = connectTimeout.inWholeMilliseconds
+        pipeline().addFirst(handler)
+        return handler.handshakeFuture()
     }
 
     /** Builds the message; throws [IllegalArgumentException] if address, method or headers of [request] are invalid. */
@@ -154,6 +179,8 @@
     }
 }
 
+private val URI.isTls: Boolean get() = scheme == "https"
+
 /** Closes the connection with a TCP reset, which discards data that was not yet delivered. Any thread may call it. */
 internal fun Channel.reset() {
     try {
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -27,9 +27,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A server that keeps connections open and responds to each request with bytes that the test chooses. */
-internal class KeepAliveServer(private val respond: Socket.(request: String) -> Unit) : AutoCloseable {
+internal class KeepAliveServer(
+    private val respond: Socket.(request: String) -> Unit,
+    private val server: ServerSocket = ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
+) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val connections = AtomicInteger()
     val endCause = CompletableDeferred<Throwable?>()
     val url = "http://127.0.0.1:${server.localPort}"
