Make NettyTargetClient the standalone daemon's client for calls

Cause: the JDK's client hides the reason phrase, so that the head of one response cannot be told from one made of two, and it keeps connections that such bytes came on. Change: calls and load reports on kept connections go over NettyTargetClient, which checks heads; each request carries its id, so that no connection carries an id twice.

freshConnection: requests that may run once could share a connection for 500 ms; each now opens one, and it is not kept, as one for each such call would be idle for 8 s and count against the target's connections. That costs a connect, and with https a handshake, for each call that may run once; the connections opened grow with the rate of such calls (not measured). From the JDK's documentation, not run: its client sends a GET again by itself if a kept connection turns out closed; now that is an attempt.

JoinedHeadsTest: 4 of 4 cuts red with PooledTargetClient (200 in place of 404), green now. NettyTargetClientTest, two new tests: red with dropConnections() doing nothing and with fresh connections kept, green now.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/DataPath.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/DataPath.kt
@@ -45,7 +45,7 @@
 import dev.vanillarun.daemon.target.ConnectProbe
 import dev.vanillarun.daemon.target.KtorTargetClient
 import dev.vanillarun.daemon.target.LoadReader
-import dev.vanillarun.daemon.target.PooledTargetClient
+import dev.vanillarun.daemon.target.NettyTargetClient
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -74,7 +74,7 @@
 ) : AutoCloseable {
     private val clock = SystemClock
     private val selector = SelectorManager(Dispatchers.IO)
-    private val client = PooledTargetClient()
+    private val client = NettyTargetClient()
     private val probes = KtorTargetClient()
     private val loads =
         LoadReaders(persistent = LoadReader(client, clock, KEPT_CONNECTION_TIMEOUT), fresh = LoadReader(probes, clock))
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/forward/TargetRequests.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/forward/TargetRequests.kt
@@ -32,6 +32,7 @@
             contentType = request.contentType,
             body = body(request, progress),
             freshConnection = !request.repeatable,
+            id = exchange.value,
         )
     }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ConnectionPool.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -10,13 +11,17 @@
 
 /** Idle connections by `host:port`, reused last in, first out. */
 internal class ConnectionPool(private val time: TimeSource = TimeSource.Monotonic) {
-    private class Idle(val channel: Channel, val expiry: TimeMark) {
-        val isExpired: Boolean get() = expiry.hasPassedNow() || !channel.isActive
+    private inner class Idle(val channel: Channel, val expiry: TimeMark, val openedIn: Int) {
+        val isExpired: Boolean get() = expiry.hasPassedNow() || !channel.isActive || openedIn != generation
 
         fun mayCarry(id: String?): Boolean = channel.exchanges()?.mayCarry(id) ?: false
     }
 
     private val idle = ConcurrentHashMap<String, ArrayDeque<Idle>>()
+    private val generations = AtomicInteger()
+
+    /** Changes with [dropAll]; connections of an earlier generation are not reused. */
+    val generation: Int get() = generations.get()
 
     /**
      * Removes and returns a usable idle connection to [address] that may carry a request with [id], or null if there is
@@ -44,17 +49,28 @@
         return found
     }
 
-    /** Stores [channel] for reuse; [timeout] is the idle timeout that the server announced, null if it gave none. */
-    fun put(address: String, channel: Channel, timeout: Duration?) {
-        val keepFor = minOf(timeout?.minus(CLOSE_MARGIN) ?: DEFAULT_IDLE, MAX_IDLE)
-        if (keepFor <= Duration.ZERO || !channel.isActive ||
-            channel.exchanges()?.isSpent != false
-        ) {
-            return channel.reset()
+    /** Resets the idle connections; those in use now are not stored again. */
+    fun dropAll() {
+        generations.incrementAndGet()
+        idle.keys.forEach { address ->
+            idle.computeIfPresent(address) { _, connections ->
+                connections.removeAll { it.isExpired.also { expired -> if (expired) it.channel.reset() } }
+                connections.takeIf { it.isNotEmpty() }
+            }
         }
+    }
+
+    /**
+     * Stores [channel] for reuse; [timeout] is the idle timeout that the server announced, null if it gave none, and
+     * [openedIn] the [generation] before the channel was opened or taken.
+     */
+    fun put(address: String, channel: Channel, timeout: Duration?, openedIn: Int = generation) {
+        val keepFor = minOf(timeout?.minus(CLOSE_MARGIN) ?: DEFAULT_IDLE, MAX_IDLE)
+        val usable = channel.isActive && openedIn == generation && channel.exchanges()?.isSpent == false
+        if (keepFor <= Duration.ZERO || !usable) return channel.reset()
         idle.compute(address) { _, connections ->
             val all = connections ?: ArrayDeque()
-            all.addLast(Idle(channel, time.markNow() + keepFor))
+            all.addLast(Idle(channel, time.markNow() + keepFor, openedIn))
             all.removeAll { it.expiry.hasPassedNow().also { expired -> if (expired) it.channel.reset() } }
             all
         }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -68,6 +68,7 @@
         }
         val uri = URI(request.url)
         val address = if (uri.isTls) "https://${uri.authority}" else "${uri.host}:${uri.port}"
+        val generation = pool.generation
         val pooled = if (request.freshConnection) null else pool.take(address, request.id)
         val channel = pooled ?: when (val connected = connect(uri)) {
             is ConnectResult.Open -> connected.channel
@@ -77,10 +78,10 @@
         var reusable = false
         try {
             val result = send(exchange, request, message, handle)
-            reusable = result is ExchangeResult.Answered && exchange.isReusable
+            reusable = result is ExchangeResult.Answered && exchange.isReusable && !request.freshConnection
             return result
         } finally {
-            if (reusable) pool.put(address, channel, exchange.idleTimeout) else channel.reset()
+            if (reusable) pool.put(address, channel, exchange.idleTimeout, generation) else channel.reset()
         }
     }
 
@@ -102,6 +103,9 @@
         }
     }
 
+    /** Stops the reuse of all connections open now. Exchanges in flight continue. */
+    public fun dropConnections(): Unit = pool.dropAll()
+
     override fun isWarm(address: String): Boolean = pool.has(address)
 
     override fun onStrayAnswer(listener: StrayAnswerListener) {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -16,7 +16,7 @@
     public val contentType: ContentType? = null,
     /** Complete request body; empty if there is none. */
     public val body: ByteArray = ByteArray(0),
-    /** True if the request must not reuse a connection that has been open for long, since it cannot be repeated. */
+    /** True if the request must have a connection of its own, since it cannot be repeated if that turns out dead. */
     public val freshConnection: Boolean = false,
     /** Last check before the first byte is sent; clients that cannot check then do so before they connect. */
     public val sendGuard: SendGuard = SendGuard.Always,
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -71,8 +71,11 @@
 
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-private suspend fun NettyTargetClient.get(url: String): ExchangeResult<Pair<String, Boolean>> =
-    exchange(TargetRequest("GET", "$url/x?y=1", Headers.Empty)) { answer ->
+private suspend fun NettyTargetClient.get(
+    url: String,
+    freshConnection: Boolean = false,
+): ExchangeResult<Pair<String, Boolean>> =
+    exchange(TargetRequest("GET", "$url/x?y=1", Headers.Empty, freshConnection = freshConnection)) { answer ->
         val text = StringBuilder()
         while (true) {
             when (val part = answer.body.next()) {
@@ -153,6 +156,35 @@
             }
         }
 
+        describe("connections that are dropped") {
+            // Calls were sent on connections that had gone silent.
+            it("are not used again, neither idle ones nor that of an exchange in flight, which goes on") {
+                with({ send(OK) }) { client, server ->
+                    client.get(server.url)
+                    client.dropConnections()
+                    client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty)) {
+                        server.connections.get() shouldBe 2
+                        client.dropConnections()
+                        it.body.next().shouldBeInstanceOf<BodyPart.Bytes>()
+                        it.body.next() shouldBe BodyPart.End(clean = true)
+                    }.shouldBeInstanceOf<ExchangeResult.Answered<*>>()
+                    repeat(2) { client.get(server.url) }
+                    server.connections.get() shouldBe 3
+                }
+            }
+        }
+
+        // Calls that may run once were lost on connections that had gone silent.
+        it("gives a request that cannot be repeated a connection of its own, which is not kept") {
+            with({ send(OK) }) { client, server ->
+                repeat(2) { client.get(server.url, freshConnection = true) }
+                client.isWarm(server.url.removePrefix("http://")) shouldBe false
+                client.get(server.url)
+                client.get(server.url, freshConnection = true)
+                server.connections.get() shouldBe 4
+            }
+        }
+
         describe("an answer") {
             it("without a length is complete when its connection is closed normally") {
                 with({
