Take no answer to another request for a report's or an order's

The holder of the control duty would take any late answer on a pooled connection for the acknowledgement of an order that the engine had refused, or for its state: only the status counted, and these calls have no identity.

Servers name no request in answers to reports and orders, so an answer that names one is no answer: an order is in doubt and a report is missing. By reading WeightLoader, not by a run: an order names the sequence of its report, so an older report leads to 409 or to a load that counts as failed after a later report, and both are tried again from a new report.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
@@ -52,6 +52,9 @@
     /** True if another target than the intended one responded, which has not run the request. */
     public val wrongTarget: Boolean get() = status == MISDIRECTED
 
+    /** True if the response belongs to a request with [id], or to a call without identity if that is null. */
+    public fun answers(id: String?): Boolean = requestId == id
+
     private companion object {
         const val MISDIRECTED = 421
     }
