Take a 421 without an id for "not run" only on a new connection

A request that may run once would run twice: a late 421 that names no request, on a connection in use again, counted as the refusal of the request at hand, which then went to a second target.

Cause: TargetGateway took a 421 without an id on any connection. Servers may answer a wrong Expect-Instance without one, so it counts with the right id, or as the first exchange of its connection; else the outcome is unknown, and the connection is not used again.

StreamForwarderTest, "is sent again for a rejection that names no request only on a connection without an earlier exchange": red without the change (NotRun in place of Unknown), green with it; the class's other tests and DepartureTest, where another server answers at an address, pass.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -90,9 +90,13 @@
     ): SendResult<T> {
         val head = answer.head
         departures.responseReceived(replica, head, request.kind)
-        val isMisdirected = head.wrongTarget && (head.requestId == null || head.requestId == request.id)
-        if (isMisdirected) return SendResult.NotRun("another target answers", wrongTarget = true)
-        if (head.requestId != request.id) {
+        val isOwn = head.answers(request.id)
+        // Without an id it may be a late one, unless nothing was sent on the connection before.
+        val mayLackId = head.requestId == null && answer.connection?.exchange == 1
+        if (head.wrongTarget && (isOwn || mayLackId)) {
+            return SendResult.NotRun("another target answers", wrongTarget = true)
+        }
+        if (!isOwn) {
             val detail = "status ${head.status} to ${head.requestId ?: "no request"}"
             val kind = StrayKind.OTHER_REQUEST
             strays.received(StrayAnswer(replica.address, kind, answer.connection, request.id, detail))
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.job.SampleEvent
 import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.daemon.target.ExchangeResult
 import dev.vanillarun.daemon.target.ResponseBody
 import dev.vanillarun.daemon.target.TargetClient
@@ -43,6 +44,9 @@
     /** Sends a response with [status] that carries another request's id. */
     data class MismatchedResponse(val status: Int = 200) : Behaviour
 
+    /** Sends a 421 that names no request, as exchange number [exchange] of its connection. */
+    data class Misdirected(val exchange: Int) : Behaviour
+
     /** Accepts the request and disconnects before a response. */
     data object Disconnect : Behaviour
 
@@ -80,7 +84,7 @@
         return respond(address, id, request) { response ->
             val headers = HeadersBuilder().apply { appendAll(response.headers) }
             if (address in leaving) headers["leaving"] = "true"
-            handle(TargetResponse(response.status, headers.build(), response.body))
+            handle(TargetResponse(response.status, headers.build(), response.body, response.connection))
         }
     }
 
@@ -106,6 +110,12 @@
         is Behaviour.MismatchedResponse ->
             ExchangeResult.Answered(handle(answer(behaviour.status, "other", notRun = false)))
 
+        is Behaviour.Misdirected -> {
+            val use = ConnectionUse("c", behaviour.exchange, age = Duration.ZERO)
+            val body = ResponseBody { BodyPart.End(clean = true) }
+            ExchangeResult.Answered(handle(TargetResponse(421, Headers.Empty, body, use)))
+        }
+
         Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
 
         Behaviour.Silence -> awaitCancellation()
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/StreamForwarderTest.kt
@@ -232,6 +232,19 @@
                     targets.requestedAddresses shouldHaveSize 1
                 }
             }
+            // A late 421 that named no request made a request that had been sent go to a second target.
+            it("is sent again for a rejection that names no request only on a connection without an earlier exchange") {
+                withTargets(3) {
+                    targets.all(3, Behaviour.Misdirected(exchange = 2))
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.Unknown>()
+                    targets.requestedAddresses shouldHaveSize 1
+                }
+                withTargets(3) {
+                    targets.all(3, Behaviour.Misdirected(exchange = 1))
+                    streams.serve(stream(resumable = false), Reader()).shouldBeInstanceOf<LiveOutcome.NotRun>()
+                    targets.requestedAddresses.toSet() shouldHaveSize 3
+                }
+            }
             it("is refused after three targets disconnected, whoever sends it again") {
                 withTargets(6) {
                     targets.all(6, Behaviour.EventStream(breakAfter = 2))
