Refuse a head in which a field that may stand once stands again

Callers got answers with two ids, two signatures, two weight versions, two loads or two media types, and a 503 "not run" from a head with two Not-Executed: the first value counted, and all of them were passed on.

Such a head is no answer: the outcome is unknown, the connection is reset, and the event answer.stray says which field stood twice.

ResponseHeadCheckTest has the rule as a law.

--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/answer/ResponseHeadCheckTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/answer/ResponseHeadCheckTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.bind
 import io.kotest.property.arbitrary.element
@@ -54,6 +55,23 @@
                 DecodedHead("HTTP/1.1", "OK", listOf(server, upgrade)).fault().shouldBeNull()
             }
         }
+        describe("a field that may stand once") {
+            // Of two ids, signatures or lengths in one head the first counted.
+            it("has no fault once, and one if it stands again anywhere, in any case of its letters") {
+                val names = Arb.element("content-length", "content-type", "retry-after", "x-own")
+                checkAll(heads, names, Arb.int(0..5), Arb.int(0..5)) { text, name, first, second ->
+                    val head = decode(text).shouldNotBeNull()
+                    val own = setOf("x-own")
+                    val once = head.fields.toMutableList().apply { add(first.coerceAtMost(size), name to "1") }
+                    head.copy(fields = once).fault(own).shouldBeNull()
+                    val twice = once.toMutableList().apply { add(second.coerceAtMost(size), name.uppercase() to "1") }
+                    head.copy(fields = twice).fault(own).shouldBeInstanceOf<HeadFault.RepeatedField>()
+                }
+            }
+            it("may stand again if it is of no protocol that is known here") {
+                DecodedHead("HTTP/1.1", "OK", listOf("x-own" to "1", "x-own" to "2")).fault().shouldBeNull()
+            }
+        }
         describe("the beginning of one response, cut anywhere, and another as a whole") {
             // Callers got the status of the first with the fields of the second.
             it("are never the head of a single response") {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -29,7 +29,8 @@
 }
 
 /** One HTTP request and its response on a connection. */
-internal class NettyExchange(private val channel: Channel) : ResponseBody {
+internal class NettyExchange(private val channel: Channel, private val singleFields: Set<String> = emptySet()) :
+    ResponseBody {
     private val head = CompletableDeferred<HeadReadResult>()
     private val parts = Queue<ByteArray>(Queue.UNLIMITED)
     private val buffered = AtomicInteger()
@@ -123,7 +124,7 @@
             fail("not HTTP: ${message.decoderResult().cause().summary()}")
             return false
         }
-        val fault = (message as? HttpResponse)?.decodedHead()?.fault()
+        val fault = (message as? HttpResponse)?.decodedHead()?.fault(singleFields)
         if (fault != null) {
             fail("not the head of one answer: $fault")
             return false
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -30,7 +30,12 @@
  * and the target would run the request seconds after it was abandoned. A reset discards these bytes. Neither the JDK's
  * client nor Ktor's can reset a connection.
  */
-public class NettyTargetClient(private val connectTimeout: Duration = 1.seconds, threads: Int = 1) : TargetClient {
+public class NettyTargetClient(
+    private val connectTimeout: Duration = 1.seconds,
+    threads: Int = 1,
+    /** Names, in lower case, of fields of the targets' protocol that may stand once in a response. */
+    private val singleFields: Set<String> = emptySet(),
+) : TargetClient {
     private val group = NioEventLoopGroup(threads)
     private val pool = ConnectionPool()
 
@@ -66,7 +71,7 @@
             is ConnectResult.Open -> connected.channel
             is ConnectResult.Failed -> return ExchangeResult.NotSent(connected.reason)
         }
-        val exchange = NettyExchange(channel)
+        val exchange = NettyExchange(channel, singleFields)
         var reusable = false
         try {
             val result = send(exchange, request, message, handle)
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -89,6 +89,14 @@
                 strays.shouldBeEmpty()
             }
         }
+        // Two readers of a response with a length and chunks see two ends.
+        it("a response with two ends is no answer, and is reported") {
+            val chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n"
+            with(listOf(chunked)) { exchange ->
+                exchange("first").shouldBeInstanceOf<ExchangeResult.Broken>()
+                eventually(5.seconds) { strays.map { it.kind } shouldBe listOf(StrayKind.MALFORMED) }
+            }
+        }
         it("bytes that are no answer are reported with the request that waits and the one before") {
             with(listOf(OK, "no answer\r\n\r\n")) { exchange ->
                 exchange("first")
