--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -10,8 +10,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 
 /**
- * Decodes the responses of one connection. Bytes that follow a response, or that arrive while no exchange waits for any,
- * end the use of the connection, as Netty's decoders would keep them as the beginning of the next response.
+ * Decodes the responses of one connection. Bytes that follow a response, or that arrive while no exchange waits for
+ * any, end the use of the connection, as Netty's decoders would keep them as the beginning of the next response.
  */
 internal class ResponseDecoder(private val exchanges: ExchangeHandler, config: HttpDecoderConfig) :
     HttpResponseDecoder(config) {
