--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/HeadFault.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/HeadFault.kt
@@ -13,4 +13,10 @@
         /** Number of the line that holds it, from 1. */
         public val line: Int,
     ) : HeadFault
+
+    /** A field that may stand once stands again, so that readers differ in which value counts. */
+    public data class RepeatedField(
+        /** Name of the field, as received the second time. */
+        public val field: String,
+    ) : HeadFault
 }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.repeatedField
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
 import io.netty.channel.Channel
@@ -27,7 +28,8 @@
 }
 
 /** One HTTP request and its response on a connection. */
-internal class NettyExchange(private val channel: Channel) : ResponseBody {
+internal class NettyExchange(private val channel: Channel, private val singleFields: Set<String> = emptySet()) :
+    ResponseBody {
     private val head = CompletableDeferred<HeadReadResult>()
     private val parts = Queue<ByteArray>(Queue.UNLIMITED)
     private val buffered = AtomicInteger()
@@ -125,6 +127,11 @@
             fail("not HTTP: ${cause.summary()}", cause.breakCause())
             return false
         }
+        val repeated = (message as? HttpResponse)?.let { response -> repeatedField(response.headers().map { it.key }, singleFields) }
+        if (repeated != null) {
+            fail("not HTTP: $repeated", BreakCause.INVALID_ANSWER)
+            return false
+        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent && !interim) onContent(message)
         if (message is LastHttpContent) {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -36,7 +36,9 @@
 public class NettyTargetClient(
     private val connectTimeout: Duration = 1.seconds,
     threads: Int = 1,
-    private val tls: SSLContext = SSLContext.getDefault(),
+    private val tls: () -> SSLContext = SSLContext::getDefault,
+    /** Names, in lower case, of fields of the targets' protocol that may stand once in a response. */
+    private val singleFields: Set<String> = emptySet(),
 ) : TargetClient {
     private val group = NioEventLoopGroup(threads)
     private val pool = ConnectionPool()
@@ -74,7 +76,7 @@
             is ConnectResult.Open -> connected.channel
             is ConnectResult.Failed -> return ExchangeResult.NotSent(connected.reason)
         }
-        val exchange = NettyExchange(channel)
+        val exchange = NettyExchange(channel, singleFields)
         var reusable = false
         try {
             val result = send(exchange, request, message, handle)
@@ -141,7 +143,7 @@
 
     /** Encrypts the connection; the certificate of the target has to name its address. */
     private fun Channel.startTls(uri: URI): Future<Channel> {
-        val engine = tls.createSSLEngine(uri.host.removeSurrounding("[", "]"), uri.port)
+        val engine = tls().createSSLEngine(uri.host.removeSurrounding("[", "]"), uri.port)
         engine.useClientMode = true
         engine.sslParameters = engine.sslParameters.apply { endpointIdentificationAlgorithm = "HTTPS" }
         val handler = SslHandler(engine)
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/TlsTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/TlsTest.kt
@@ -50,7 +50,7 @@
             it("is spoken to over TLS, on a connection that is used again") {
                 val tls = tlsContext(folder, "127.0.0.1")
                 tlsServer(tls).use { server ->
-                    NettyTargetClient(tls = tls).use { client ->
+                    NettyTargetClient(tls = { tls }).use { client ->
                         repeat(2) {
                             client.status(server.url.replace("http", "https")) shouldBe ExchangeResult.Answered(200)
                         }
@@ -62,7 +62,7 @@
                 val other = tlsContext(folder, "127.0.0.2")
                 for (trust in listOf(other, SSLContext.getDefault())) {
                     tlsServer(other).use { server ->
-                        NettyTargetClient(tls = trust).use { client ->
+                        NettyTargetClient(tls = { trust }).use { client ->
                             client.status(server.url.replace("http", "https"))
                                 .shouldBeInstanceOf<ExchangeResult.NotSent>()
                         }
