--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -127,7 +127,9 @@
             fail("not HTTP: ${cause.summary()}", cause.breakCause())
             return false
         }
-        val repeated = (message as? HttpResponse)?.let { response -> repeatedField(response.headers().map { it.key }, singleFields) }
+        val repeated = (message as? HttpResponse)?.let { response ->
+            repeatedField(response.headers().map { it.key }, singleFields)
+        }
         if (repeated != null) {
             fail("not HTTP: $repeated", BreakCause.INVALID_ANSWER)
             return false
