Take no body for whole that may hold another response

A caller's success would have a body that is not the target's: an answer that a target cuts in its body, and a second copy after it, fill the announced length, or last until the connection ends.

A body in which a status line begins counts as broken if nothing vouches for its end: if it ends with its connection, or if bytes follow it. A body with a length or chunks and nothing after it stays as it is, whatever it holds, and so does one that a whole copy follows. Bytes that arrive in a later read cannot count.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineCheck.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineCheck.kt
@@ -13,28 +13,6 @@
     else -> StatusLine.find(text, startIndex = 1)?.let { HeadFault.SecondStatusLine(text.lineNumber(it.range.first)) }
 }
 
-/** Searches text that arrives in parts for the beginning of a status line. */
-public class StatusLineSearch {
-    private var tail = ""
-
-    /** True once the text has held the beginning of a status line. */
-    public var found: Boolean = false
-        private set
-
-    /** Continues the search with [part]. */
-    public fun feed(part: String) {
-        if (found) return
-        val text = tail + part
-        found = StatusLine.containsMatchIn(text)
-        tail = text.takeLast(MAX_CHARACTERS)
-    }
-
-    private companion object {
-        /** More than the beginning of a status line takes. */
-        const val MAX_CHARACTERS = 32
-    }
-}
-
 private fun String.lineNumber(index: Int): Int = 1 + substring(0, index).count { it == '\n' }
 
 /** Enough of a first line to recognize what was sent. */
@@ -44,4 +22,4 @@
 private val FirstLine = Regex("""HTTP/1\.[01] \d{3}(?!\S)""")
 
 /** Beginning of a status line with the case, spaces and numbers that lenient decoders accept. */
-private val StatusLine = Regex("""HTTP/\d+\.\d+\s+\+?\d+(?!\S)""", RegexOption.IGNORE_CASE)
+internal val StatusLine: Regex = Regex("""HTTP/\d+\.\d+\s+\+?\d+(?!\S)""", RegexOption.IGNORE_CASE)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.StatusLineSearch
 import dev.vanillarun.core.answer.repeatedField
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
@@ -34,7 +35,9 @@
     private val parts = Queue<ByteArray>(Queue.UNLIMITED)
     private val buffered = AtomicInteger()
     private var written: ChannelFuture? = null
+    private val statusLines = StatusLineSearch()
     private var interim = false
+    private var endsWithConnection = false
 
     @Volatile
     private var finished = false
@@ -46,7 +49,7 @@
     private var keepAlive = false
 
     @Volatile
-    private var followed = false
+    private var excess: String? = null
 
     /** Idle timeout from the server's `Keep-Alive` header; null if it sent none. */
     @Volatile
@@ -84,7 +87,7 @@
      * connection open.
      */
     val isReusable: Boolean
-        get() = finished && consumed && keepAlive && !followed && written?.isSuccess == true && channel.isActive
+        get() = finished && consumed && keepAlive && excess == null && written?.isSuccess == true && channel.isActive
 
     /**
      * Sends [request] with [id] and routes what the channel receives to this exchange; false if the channel was closed
@@ -147,6 +150,7 @@
         interim = response.status().code() < FIRST_FINAL
         if (interim) return
         keepAlive = HttpUtil.isKeepAlive(response)
+        endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
         val headers = HeadersBuilder()
         response.headers().forEach { headers.append(it.key, it.value) }
         idleTimeout = response.headers().get("Keep-Alive")?.let { TimeoutParameter.find(it) }
@@ -159,18 +163,27 @@
         if (!buffer.isReadable) return
         val bytes = ByteArray(buffer.readableBytes())
         buffer.readBytes(bytes)
+        statusLines.feed(bytes.toString(Charsets.ISO_8859_1))
         parts.trySend(bytes)
         if (buffered.addAndGet(bytes.size) > READ_PAUSE_BYTES) channel.config().isAutoRead = false
     }
 
+    /**
+     * True if the body may hold another response: if a target cuts a response in its body and sends another, that one
+     * fills the length, with more bytes after it, or lasts until the connection ends.
+     */
+    private val holdsAnother: Boolean
+        get() = if (endsWithConnection) statusLines.found else excess?.let(statusLines::foundBefore) == true
+
     private fun onEnd() {
+        if (holdsAnother) return fail("the body may hold another response", BreakCause.INVALID_ANSWER)
         finished = true
         parts.close()
     }
 
-    /** Records that more bytes than the response were received; to be called before its end is. */
-    fun onExcess() {
-        followed = true
+    /** Records that [bytes] were received after the response; to be called before its end is. */
+    fun onExcess(bytes: String) {
+        excess = bytes
     }
 
     /** Fails the exchange: a reader of the head or the body sees [reason] and [cause], unless it has failed before. */
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -38,7 +38,8 @@
         if (out.lastOrNull() is LastHttpContent) readsHead = true
         if (!buffer.isReadable || !out.endsResponse()) return
         exchanges.reportStray(context.channel(), StrayKind.EXCESS, "${buffer.readableBytes()} bytes")
-        exchanges.current?.onExcess()
+        val shown = minOf(buffer.readableBytes(), MAX_SHOWN_BYTES)
+        exchanges.current?.onExcess(buffer.toString(buffer.readerIndex(), shown, Charsets.ISO_8859_1))
         buffer.skipBytes(buffer.readableBytes())
     }
 
@@ -58,4 +59,9 @@
         val isInterim = any { it is HttpResponse && it.status().codeClass() == HttpStatusClass.INFORMATIONAL }
         return last.decoderResult().isSuccess && !isInterim
     }
+
+    private companion object {
+        /** Bytes after a response that are looked at; more than the beginning of a status line takes. */
+        const val MAX_SHOWN_BYTES = 64
+    }
 }
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/NettyTargetClientTest.kt
@@ -71,7 +71,7 @@
 
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-private suspend fun NettyTargetClient.get(
+internal suspend fun NettyTargetClient.get(
     url: String,
     freshConnection: Boolean = false,
 ): ExchangeResult<Pair<String, Boolean>> =
