Record the answer to a call also if its caller leaves at once

A caller that closes its connection as soon as it has the answer cancels the call, and the cancellation at the end of the call's scope came before the event and the count.

The call is now recorded where its answer is sent, in any case.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -99,38 +99,47 @@
         val body = call.receive<ByteArray>()
         val request = IncomingRequest(head, metadata, body, received, tracked)
         val fault = call.messageFault() ?: repeatedField(head)
-        val reply = if (fault == null) handleAndRespond(call, request) else refuse(call, fault)
-        val elapsed = clock.now() - received
+        if (fault == null) handleAndRespond(call, request) else refuse(call, request, fault)
+    }
+
+    /** Sends [reply] by [send] and records it, also if the caller has left by the time that it is sent. */
+    private suspend fun respond(request: IncomingRequest, reply: Reply, send: suspend () -> Unit) = try {
+        send()
+    } finally {
+        val elapsed = clock.now() - request.received
         calls.recordResponse(reply.status, elapsed)
         val attributes = mapOf(
             "status" to "${reply.status}",
             "reason" to reply.reason,
             "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
             "catalog" to "${catalog.catalog.value?.version}",
-            "method" to head.method,
+            "method" to request.head.method,
         ) + reply.source?.attributes.orEmpty()
         val served = reply.status < FIRST_ERROR && reply.stream != StreamEnd.ABORTED
         val name = if (served) "request.served" else "request.ended"
-        events.record(name, EventLinks(request = metadata.id), attributes)
+        events.record(name, EventLinks(request = request.metadata.id), attributes)
     }
 
     private fun repeatedField(head: RequestHead): RequestFault? = dialect.singleHeaders.firstOrNull {
         head.headers.getAll(it).orEmpty().size > 1
     }?.let(RequestFault::RepeatedField)
 
-    private suspend fun refuse(call: ApplicationCall, fault: RequestFault): Reply =
-        Reply.faulty(fault).also { call.send(it) }
+    private suspend fun refuse(call: ApplicationCall, request: IncomingRequest, fault: RequestFault) {
+        val reply = Reply.faulty(fault)
+        respond(request, reply) { call.send(reply) }
+    }
 
-    /** Handles [request], sends the response and returns it; the events of a stream are sent as they arrive. */
-    private suspend fun handleAndRespond(call: ApplicationCall, request: IncomingRequest): Reply = coroutineScope {
+    /** Handles [request] and sends the response; the events of a stream are sent as they arrive. */
+    private suspend fun handleAndRespond(call: ApplicationCall, request: IncomingRequest) = coroutineScope {
         val stream = CallerStream(call, this)
         val reply = admission.untilCutOff { reply(request, CallerSink(stream)) } ?: cutOff(stream)
-        when (reply.stream) {
-            null -> call.send(reply)
-            StreamEnd.COMPLETE -> stream.finish()
-            StreamEnd.ABORTED -> stream.breakOff()
+        respond(request, reply) {
+            when (reply.stream) {
+                null -> call.send(reply)
+                StreamEnd.COMPLETE -> stream.finish()
+                StreamEnd.ABORTED -> stream.breakOff()
+            }
         }
-        reply
     }
 
     /** The target may have run the request, and an open [stream] is incomplete. */
