Name the request of an answer to a caller once

Callers got Request-Id twice in an answer: the instance sets it, and the target's echo was added to it. Fields that the instance has set are not added again, in answers with a body and in streams. ResponseSourceTest, "an answer names its request once": 2 of 2 red before, green after.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/stream/CallerStream.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/stream/CallerStream.kt
@@ -28,9 +28,11 @@
     /** True once a byte of the response may have been sent to the caller. */
     public val isOpen: Boolean get() = channel != null
 
-    /** Starts the response with these headers; returns once its body can be written. */
+    /** Starts the response with these [headers], but for those it has; returns once its body can be written. */
     public suspend fun open(type: ContentType, status: HttpStatusCode, headers: Headers) {
-        headers.forEach { name, values -> values.forEach { call.response.header(name, it) } }
+        headers.forEach { name, values ->
+            if (name !in call.response.headers) values.forEach { call.response.header(name, it) }
+        }
         val opened = CompletableDeferred<ByteWriteChannel>()
         response = scope.launch {
             call.respondBytesWriter(type, status) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -236,7 +236,8 @@
 
     private suspend fun ApplicationCall.send(reply: Reply) {
         reply.headers.forEach { name, values ->
-            if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) values.forEach { response.header(name, it) }
+            val isSet = name.equals(HttpHeaders.ContentType, ignoreCase = true) || name in response.headers
+            if (!isSet) values.forEach { response.header(name, it) }
         }
         reply.retryAfter?.let {
             response.header(HttpHeaders.RetryAfter, it.toString(DurationUnit.SECONDS, decimals = 2).removeSuffix("s"))
