Count a refused head as an invalid answer, not as a crash

Callers' sound requests would have been quarantined again after heads made of two at three targets: reports such a head by a ProtocolException, which is an IOException, and takes an IOException for the end of the connection.

The decoder now reports the fault as it does others, and leaves a head that is broken already as it is.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
-import java.net.ProtocolException
 
 /**
  * Decodes the responses of one connection. Bytes that follow a response, or that arrive while no exchange waits for
@@ -48,7 +47,10 @@
         head.append(part)
         val response = out.firstNotNullOfOrNull { it as? HttpResponse } ?: return
         val fault = statusLineFault(head.toString())
-        if (fault != null) response.decoderResult = DecoderResult.failure(ProtocolException("$fault"))
+        if (fault != null && response.decoderResult().isSuccess) {
+            // Not an IOException, which would tell of the end of the connection.
+            response.decoderResult = DecoderResult.failure(IllegalArgumentException("$fault"))
+        }
         head.clear()
         readsHead = false
     }
