Give every path to a target one seam for conditions, and read cold starts, regions and slowdowns

Change: TargetGate, asked at the choice and again immediately before the send; a withheld send is no failure of the target.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Catalog.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Catalog.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.core.catalog
 
 import dev.vanillarun.core.id.CustomerId
+import dev.vanillarun.core.zone.Region
 
 /**
  * One version of the operator's configuration on a hosting platform: routes, services and customers.
@@ -34,6 +35,8 @@
     public val id: CustomerId,
     /** Priority rank of all its requests, 0 is served first; null if [CatalogRoute.priority] applies. */
     public val priority: Int? = null,
+    /** Regions in which its requests may be processed; empty if any may. */
+    public val regions: Set<Region> = emptySet(),
 )
 
 /** Result of [authorize]. */
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/CatalogRoute.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/CatalogRoute.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.core.catalog
 
 import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.core.zone.Region
 import kotlin.time.Duration
 
 /** Kind of the requests of a route: whether they may be retried, and how responses are delivered. */
@@ -48,6 +49,8 @@
     public val jobObjective: Duration? = null,
     /** Time after submission from which an unfinished sample may be aborted; null if never. */
     public val jobRetention: Duration? = null,
+    /** Regions in which its requests may be processed; empty if any may. */
+    public val regions: Set<Region> = emptySet(),
 )
 
 /** Share of a route's requests that one service gets. */
@@ -68,6 +71,16 @@
     public val slots: Int? = null,
     /** Bounds and prices for ordering targets; null if this system does not control their number. */
     public val spending: ServiceSpending? = null,
+    /** What its targets bear after a start; null if they bear their full load at once. */
+    public val coldStart: ColdStart? = null,
+)
+
+/** Limit on the requests that a target bears for a while after its start, or after it has declared itself cold. */
+public data class ColdStart(
+    /** Time after its start for which a target is cold. */
+    public val duration: Duration,
+    /** Requests per second that a cold target bears, summed over all instances; above zero. */
+    public val requestsPerSecond: Double,
 )
 
 /** Bounds and prices for the number of targets of a service. */
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Replica.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Replica.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.zone.DataCentre
+import kotlin.time.Duration
 
 /** State that a target announces about itself. */
 public data class Replica(
@@ -24,4 +25,6 @@
     public val startedAt: Long = 0,
     /** True if the platform may reclaim it at any time, at short notice. */
     public val reclaimable: Boolean = false,
+    /** Time for which the target stays cold after this announcement, see [ColdStart]; zero if it is not cold. */
+    public val coldFor: Duration = Duration.ZERO,
 )
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -55,6 +55,7 @@
 import dev.vanillarun.hosted.store.storeBackoff
 import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.StrayAnswers
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
 import dev.vanillarun.hosted.target.registerTargets
@@ -109,8 +110,16 @@
     private val departures =
         DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
     private val strays = StrayAnswers(events)
-    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays)
-    private val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre(settings.dataCentre), clock)
+    private val gates = TargetGates()
+    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays, gates)
+    private val chooser = ReplicaChooser(
+        departures = departures,
+        tracker = tracker,
+        isWarm = gateway::isWarm,
+        local = DataCentre(settings.dataCentre),
+        clock = clock,
+        gates = gates,
+    )
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
     private val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
     private val streams = StreamForwarder(chooser, gateway, ports.targets, tracker, crashes, clock, events)
@@ -145,7 +154,7 @@
     )
 
     private val runner = JobRunner(
-        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures),
+        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates),
         samples = SampleRunner(gateway, ports.targets, tracker, clock),
         rewards = RewardCaller(catalog, live, clock, events),
         appender = jobAppender,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -22,6 +23,7 @@
     enum class None(val description: String) : EngineChoice {
         NOT_LISTED("no engine is listed"),
         NO_WEIGHTS("no engine has the weights"),
+        WITHHELD("all engines with the weights are evacuated, cold or outside the allowed regions"),
         BACKED_OFF("all engines with the weights are backed off or leaving"),
         FULL("all engines are full"),
     }
@@ -37,6 +39,7 @@
     private val placement: PlacementBoard,
     private val departures: DepartureBoard,
     private val clock: MonotonicClock,
+    private val gates: TargetGates = TargetGates(),
 ) {
     /**
      * Returns the engine for [task], or why there is none; [running] has the start times of the runs at each engine. If
@@ -46,14 +49,16 @@
     fun choose(task: SampleTask, running: Map<TargetId, List<Instant>>, overdue: Boolean = false): EngineChoice {
         val listed = listed(task)
         val capable = listed.filter { isCapable(it, task) }
-        val usable = capable.filter(::isUsable)
+        val open = capable.filter { gates.refusal(it, task.gated) == null }
+        val usable = open.filter(::isUsable)
         val chosen =
             chooseEngine(usable.map { load(it, task, running) })?.let { load -> usable.first { it.id == load.id } }
-                ?: engineToProbe(capable, task, running).takeIf { overdue && isMostlyFree(capable, running) }
+                ?: engineToProbe(open, task, running).takeIf { overdue && isMostlyFree(open, running) }
         return when {
             chosen != null -> EngineChoice.Chosen(chosen)
             listed.isEmpty() -> EngineChoice.None.NOT_LISTED
             capable.isEmpty() -> EngineChoice.None.NO_WEIGHTS
+            open.isEmpty() -> EngineChoice.None.WITHHELD
             usable.isEmpty() -> EngineChoice.None.BACKED_OFF
             else -> EngineChoice.None.FULL
         }
@@ -61,7 +66,9 @@
 
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
     fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, List<Instant>>): TargetId? {
-        val engines = listed(task).filter { isCapable(it, task) && isUsable(it) }
+        val engines = listed(task).filter {
+            isCapable(it, task) && isUsable(it) && gates.refusal(it, task.gated) == null
+        }
         val loads = engines.map { load(it, task, running) }
         return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -22,6 +22,7 @@
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -45,6 +46,7 @@
     val slots: SlotMembership,
     val tracker: TargetTracker,
     val departures: DepartureBoard,
+    val gates: TargetGates = TargetGates(),
 )
 
 /**
@@ -67,7 +69,7 @@
     private enum class Conclusion { SCORE, ABORT }
 
     private val engines =
-        EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures, clock)
+        EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures, clock, inputs.gates)
     private val unplaced = UnplacedItems(clock, events)
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -14,6 +14,7 @@
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.hosted.target.Activity
 import dev.vanillarun.hosted.target.ExchangeKind
+import dev.vanillarun.hosted.target.GatedRequest
 import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.OutgoingRequest
@@ -28,7 +29,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** An item to run, with its job and the route that matches the job. */
-internal class SampleTask(val job: Job, val item: JobItem, val route: CatalogRoute)
+internal class SampleTask(val job: Job, val item: JobItem, val route: CatalogRoute) {
+    /** What gates may know of a run of the item. */
+    val gated: GatedRequest get() = GatedRequest(ExchangeKind.ITEM)
+}
 
 /** Outcome of a run of an item at one engine. */
 internal sealed interface RunOutcome {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -51,7 +51,7 @@
     /** Sends [request] to targets until one responds, the attempts are used up or the deadline passes. */
     suspend fun serve(request: LiveRequest): LiveOutcome {
         if (crashes.isRefused(request)) return LiveOutcome.NotRun("the request broke off at several targets")
-        if (request.repeatable && chooser.isFull(request.route)) return LiveOutcome.NotRun("all targets are full")
+        if (request.repeatable && chooser.isFull(request)) return LiveOutcome.NotRun("all targets are full")
         return coroutineScope {
             val serving = Serving(request, this)
             try {
@@ -70,7 +70,7 @@
         private var mayHaveRun = 0
         private var failure: LiveOutcome.Complete? = null
         private var serverErrors = 0
-        private var reason = chooser.reasonForNone(request.route)
+        private var reason = chooser.reasonForNone(request)
 
         suspend fun run(): LiveOutcome {
             start()
@@ -127,7 +127,7 @@
 
         private fun start() {
             if (!mayStart()) return
-            val replica = chooser.choose(request.route, triedIds + crashes.crashedTargets(request)) ?: return
+            val replica = chooser.choose(request, triedIds + crashes.crashedTargets(request)) ?: return
             triedIds += replica.id
             inFlight++
             attempts += InFlightAttempt(replica, clock.now(), scope.launch { results.send(attempt(replica)) })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -8,6 +8,7 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.ExchangeKind
+import dev.vanillarun.hosted.target.GatedRequest
 import dev.vanillarun.hosted.target.OutgoingRequest
 import dev.vanillarun.hosted.target.attributes
 import io.ktor.http.Headers
@@ -56,6 +57,9 @@
     /** Priority rank, 0 first; the customer's takes precedence over the route's. */
     val priority: Int get() = customer?.priority ?: route.priority
 
+    /** What gates may know of the request. */
+    val gated: GatedRequest get() = GatedRequest(kind)
+
     /** Builds the request to a target at [now]; a stream resumes after event [after]. */
     fun outgoing(now: Instant, after: Long? = resumeAfter) = OutgoingRequest(
         id = id,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -24,11 +25,14 @@
     private val local: DataCentre,
     private val clock: MonotonicClock,
     private val random: Random = Random.Default,
+    private val gates: TargetGates = TargetGates(),
 ) {
-    /** Returns a target for [route] not in [triedIds], one in backoff only if all are; null if there is none. */
-    fun choose(route: CatalogRoute, triedIds: Set<TargetId>): Replica? {
-        val service = service(route) ?: return null
-        val candidates = departures.eligible(service).filter { it.id !in triedIds }
+    /** Returns a target for [request] not in [triedIds], one in backoff only if all are; null if there is none. */
+    fun choose(request: LiveRequest, triedIds: Set<TargetId>): Replica? {
+        val service = service(request.route) ?: return null
+        val gated = request.gated
+        val candidates =
+            departures.eligible(service).filter { it.id !in triedIds && gates.refusal(it, gated) == null }
         val usable = candidates.filter(tracker::usable)
         val assumed = assumedLatency(candidates)
         return usable.ifEmpty { candidates }
@@ -42,15 +46,27 @@
     private fun assumedLatency(candidates: List<Replica>): Duration =
         candidates.mapNotNull { tracker.of(it).meanLatency }.minOrNull() ?: DEFAULT_LATENCY
 
-    /** True if every target of [route] backs off after rejections for lack of capacity, not after failures. */
-    fun isFull(route: CatalogRoute): Boolean {
-        val candidates = route.services.flatMap { departures.eligible(it.service) }
+    /** True if every target that may get [request] backs off after rejections for lack of capacity, not after failures. */
+    fun isFull(request: LiveRequest): Boolean {
+        val candidates = open(request)
         return candidates.isNotEmpty() && candidates.all { !tracker.usable(it) && tracker.of(it).failures == 0 }
     }
 
-    /** Why [choose] finds no target for a new request of [route]. */
-    fun reasonForNone(route: CatalogRoute): String =
-        if (route.services.any { departures.hasLeft(it.service) }) "all targets are leaving" else "no target is known"
+    /** Why [choose] finds no target for a new [request]. */
+    fun reasonForNone(request: LiveRequest): String {
+        val services = request.route.services.map { it.service }
+        val refusal = services.flatMap(departures::eligible).firstNotNullOfOrNull { gates.refusal(it, request.gated) }
+        return when {
+            refusal != null -> refusal.reason
+            services.any(departures::hasLeft) -> "all targets are leaving"
+            else -> "no target is known"
+        }
+    }
+
+    /** Targets that no gate withholds from [request]. */
+    private fun open(request: LiveRequest): List<Replica> = request.route.services
+        .flatMap { departures.eligible(it.service) }
+        .filter { gates.refusal(it, request.gated) == null }
 
     private fun service(route: CatalogRoute): String? {
         val shares = route.services.filter { it.weight > 0 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -67,7 +67,7 @@
     /** Forwards [request] and writes its events to [sink] until the stream ends or the deadline passes. */
     suspend fun serve(request: LiveRequest, sink: StreamSink): LiveOutcome {
         if (crashes.isRefused(request)) return LiveOutcome.NotRun("the request broke off at several targets")
-        if (chooser.isFull(request.route)) return LiveOutcome.NotRun("all targets are full")
+        if (chooser.isFull(request)) return LiveOutcome.NotRun("all targets are full")
         val serving = Serving(request, sink)
         return withTimeoutOrNull(request.deadline - clock.now()) { serving.run() } ?: serving.timedOut()
     }
@@ -85,7 +85,7 @@
         private var refusals = 0
         private var lastEventAt: Instant? = null
         private var failure: LiveOutcome.Complete? = null
-        private var reason = chooser.reasonForNone(request.route)
+        private var reason = chooser.reasonForNone(request)
         private var connection: ConnectionUse? = null
 
         suspend fun run(): LiveOutcome {
@@ -105,7 +105,7 @@
         /** Chooses the target of the next attempt; null if the attempts are used up or no target is left. */
         private fun next(): Replica? {
             val spent = mayHaveRun >= request.route.maxAttempts || refusals >= MAX_REFUSALS
-            val replica = if (spent) null else chooser.choose(request.route, triedIds + crashes.crashedTargets(request))
+            val replica = if (spent) null else chooser.choose(request, triedIds + crashes.crashedTargets(request))
             replica?.let { triedIds += it.id }
             return replica
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.CustomerId
 import dev.vanillarun.core.job.SampleEvent
+import dev.vanillarun.core.zone.Region
 import io.ktor.http.Headers
 import kotlin.time.Duration
 
@@ -30,7 +31,12 @@
     public val resumeAfter: Long? = null,
     /** Kind of the exchange, for events and metrics. */
     public val kind: ExchangeKind = ExchangeKind.LIVE,
-)
+    /** Regions in which the request may be processed; null if any may. */
+    public val regions: Set<Region>? = null,
+) {
+    /** What gates may know of the request. */
+    public val gated: GatedRequest get() = GatedRequest(kind, regions)
+}
 
 /** Status and decoded headers of a target's response. */
 public data class ResponseHead(
@@ -48,6 +54,8 @@
     public val load: TargetLoad?,
     /** True if the target that responded announces its departure: it will stop and must get no new requests. */
     public val leaving: Boolean = false,
+    /** Time for which the target stays cold after the response; null if it does not say. */
+    public val coldFor: Duration? = null,
 ) {
     /** True if another target than the intended one responded, which has not run the request. */
     public val wrongTarget: Boolean get() = status == MISDIRECTED
@@ -68,6 +76,8 @@
     public val waiting: Int,
     /** Maximum number of concurrently running requests. */
     public val slots: Int,
+    /** Factor by which work takes longer on the machine of the target at the time of the report; one is usual. */
+    public val slowdown: Double = 1.0,
 )
 
 /** Protocol of the targets: header names and event format. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -47,6 +47,7 @@
     private val tracker: TargetTracker,
     private val departures: DepartureBoard,
     private val strays: StrayAnswerListener = StrayAnswerListener {},
+    private val gates: TargetGates = TargetGates(),
     private val buffers: BufferedBodies = BufferedBodies(Runtime.getRuntime().maxMemory() / BUFFERS_OF_HEAP),
 ) {
     /** Bytes of responses that are being received whole; those that fit into a small buffer are not counted. */
@@ -64,13 +65,19 @@
         replica: Replica,
         handle: suspend (OpenedResponse) -> T,
     ): SendResult<T> {
-        if (!departures.mayReceive(replica)) return SendResult.NotRun("the target is leaving", wrongTarget = false)
+        val gated = request.gated
+        val refusal = refusal(replica, gated)
+        if (refusal != null) return SendResult.NotRun(refusal.reason, wrongTarget = false)
+        var withheld: GateRefusal? = null
         val outgoing = TargetRequest(
             method = request.method,
             url = "http://${replica.address}${request.uri}",
             headers = dialect.headers(request, replica),
             body = request.body,
-            sendGuard = { departures.mayReceive(replica) },
+            sendGuard = {
+                withheld = departureRefusal(replica) ?: gates.enter(replica, gated)
+                withheld == null
+            },
             id = request.id,
         )
         tracker.requestStarted(replica)
@@ -79,12 +86,19 @@
                 val head = dialect.head(answer.status, answer.headers)
                 validate(request, replica, OpenedResponse(head, answer, buffers), handle)
             }
-            return toResult(exchange, replica)
+            val last = withheld
+            return if (last == null) toResult(exchange, replica) else SendResult.NotRun(last.reason, false)
         } finally {
             tracker.requestEnded(replica)
         }
     }
 
+    private fun refusal(replica: Replica, gated: GatedRequest): GateRefusal? =
+        departureRefusal(replica) ?: gates.refusal(replica, gated)
+
+    private fun departureRefusal(replica: Replica): GateRefusal? =
+        if (departures.mayReceive(replica)) null else GateRefusal("the target is leaving")
+
     private suspend fun <T> validate(
         request: OutgoingRequest,
         replica: Replica,
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/ReplicaChooserTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/ReplicaChooserTest.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.ServiceShare
 import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.hosted.catalog.ReplicaSource
@@ -17,6 +18,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import io.ktor.http.Headers
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.first
@@ -36,6 +38,19 @@
     objective = 150.milliseconds,
 )
 
+private val request = LiveRequest(
+    id = "1",
+    method = "GET",
+    uri = "/",
+    host = "h",
+    headers = Headers.Empty,
+    body = ByteArray(0),
+    route = route,
+    customer = null,
+    received = Instant(0),
+    deadline = Instant(0) + route.timeout,
+)
+
 /** One instance of many before [count] targets, with the connections that it has opened. */
 private class Instance(replicas: ReplicaSource, seed: Int, clock: ManualClock) {
     val tracker = TargetTracker(clock)
@@ -47,7 +62,7 @@
 
     /** Sends one call that takes [latency] at the chosen target. */
     fun call(latency: (Replica) -> Duration): TargetId {
-        val chosen = chooser.choose(route, emptySet())!!
+        val chosen = chooser.choose(request, emptySet())!!
         connected += chosen.id
         tracker.latencyObserved(chosen, latency(chosen))
         return chosen.id
