Bound requests to cold and recovered targets on every path

Cause: no path to a target knew of its cold start; status reads and load orders passed no gate at all. Change: TargetGate hears the head and the end of a request (GatePassage tells each gate once), PaceGate applies core.pace, and only the owner of a target's slot sends to it while it is cold. SlotMembership.holds ends with the time that the store was asked for. Status reads and orders pass the gates (GatedEngineCalls) and wait for their part of the allowance. Load reports tell whether they carry the state of the machine. Event target.pace, two metrics. In force only for services with a cold start, the slow start also where reports carry the state of the machine.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -50,6 +50,9 @@
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.live.StreamForwarder
+import dev.vanillarun.hosted.pace.ColdGrant
+import dev.vanillarun.hosted.pace.PaceGate
+import dev.vanillarun.hosted.pace.registerPace
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
@@ -110,7 +113,16 @@
     private val departures =
         DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
     private val strays = StrayAnswers(events)
-    private val gates = TargetGates()
+    private val pace = PaceGate(
+        service = { catalog.catalog.value?.services?.get(it) },
+        listing = replicas,
+        ownership = { slots.holds(placement.placement.value.models[it.id] ?: it.id.value) },
+        grant = ColdGrant(),
+        clock = clock,
+        wallClock = wallClock,
+        events = events,
+    )
+    private val gates = TargetGates(listOf(pace), clock)
     private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays, gates)
     private val chooser = ReplicaChooser(
         departures = departures,
@@ -125,7 +137,7 @@
     private val streams = StreamForwarder(chooser, gateway, ports.targets, tracker, crashes, clock, events)
     private val usageWindow = settings.hosting.usageWindowS.seconds
     private val usageMeter = UsageMeter(usageAppender, usageWindow, clock, wallClock)
-    private val slots = SlotMembership(ports.store, settings.instance, events)
+    private val slots = SlotMembership(ports.store, settings.instance, events, clock)
 
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
     private val leaseAppender = LogAppender(leaseLog, clock)
@@ -163,7 +175,7 @@
         wallClock = wallClock,
         events = events,
     )
-    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures)
+    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures, gates)
     private val weightLoader = WeightLoader(
         duty = duty,
         calls = ports.calls,
@@ -212,6 +224,7 @@
     init {
         ports.client.onStrayAnswer(strays)
         metrics.registerTargets(departures, strays, gateway)
+        metrics.registerPace(pace)
     }
 
     @Volatile
@@ -282,6 +295,7 @@
     private fun retainTargets(targets: Map<TargetId, Replica>) {
         tracker.retain(targets.values)
         departures.retain(targets.values)
+        pace.retain(targets.values)
     }
 
     private fun status() = InstanceStatus(
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/HostingCalls.kt
@@ -94,10 +94,14 @@
 /** Calls to engines and to the hosting platform; all but [engineStatus] are reserved for the holder of the duty. */
 public interface HostingCalls {
     /**
-     * Reads the state of [engine]; null if it does not respond in time or its response cannot be decoded. [onHead]
-     * receives the head of the response, also of one that is not complete.
+     * Reads the state of [engine] if [guard] permits it; null if it does not, if the engine does not respond in time or
+     * if its response cannot be decoded. [onHead] receives the head of the response, also of one that is not complete.
      */
-    public suspend fun engineStatus(engine: Replica, onHead: (ResponseHead) -> Unit): EngineStatus?
+    public suspend fun engineStatus(
+        engine: Replica,
+        guard: SendGuard = SendGuard.Always,
+        onHead: (ResponseHead) -> Unit,
+    ): EngineStatus?
 
     /**
      * Sends [order] to [engine] if [guard] permits it; does not wait for the load. [onHead] receives the head of the
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -15,7 +15,6 @@
 import dev.vanillarun.core.placement.ModelPlacement
 import dev.vanillarun.core.placement.placeModels
 import dev.vanillarun.core.platform.PlatformResult
-import dev.vanillarun.core.platform.SendGuard
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
@@ -26,6 +25,7 @@
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.ExchangeKind
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -44,6 +44,7 @@
     val jobs: JobBoard,
     val tracker: TargetTracker,
     val departures: DepartureBoard,
+    val gates: TargetGates = TargetGates(),
 )
 
 /**
@@ -54,7 +55,7 @@
  */
 internal class WeightLoader(
     private val duty: ControlDuty,
-    private val calls: HostingCalls,
+    calls: HostingCalls,
     private val inputs: ControlInputs,
     private val placements: DurableAppender,
     private val self: InstanceId,
@@ -65,6 +66,7 @@
 
     private data class NewestVersion(val version: WeightVersion, val since: Instant)
 
+    private val engineCalls = GatedEngineCalls(calls, inputs.departures, inputs.gates, clock)
     private val newestVersions = HashMap<String, NewestVersion>()
     private val loadStates = ConcurrentHashMap<TargetId, LoadState>()
     private val loading = ConcurrentHashMap.newKeySet<TargetId>()
@@ -172,7 +174,7 @@
 
     /** Orders [version] and waits until [engine] reports it; false on failure or after [LOAD_TIMEOUT]. */
     private suspend fun orderAndAwait(engine: Replica, model: String, version: WeightVersion): Boolean {
-        val status = readStatus(engine) ?: return false
+        val status = engineCalls.status(engine) ?: return false
         return when {
             servesVersion(status, engine, model, version) -> true
             !status.busy && !submit(engine, model, version, status) -> false
@@ -191,22 +193,13 @@
         while (clock.now() < until) {
             delay(STATUS_INTERVAL)
             if (inputs.departures.isDeparting(engine)) return false
-            val next = readStatus(engine)
+            val next = engineCalls.status(engine)
             if (next != null && servesVersion(next, engine, model, version)) return true
             if (next != null && !next.busy && next.acceptedOrders == before.acceptedOrders) return false
         }
         return false
     }
 
-    private suspend fun readStatus(engine: Replica): EngineStatus? =
-        calls.engineStatus(engine) { inputs.departures.responseReceived(engine, it, ExchangeKind.STATUS) }
-
-    private suspend fun send(engine: Replica, order: LoadOrder, token: FencingToken): PlatformResult<OrderAnswer> {
-        val departures = inputs.departures
-        val guard = SendGuard { !departures.isDeparting(engine) }
-        return calls.order(engine, order, token, guard) { departures.responseReceived(engine, it, ExchangeKind.ORDER) }
-    }
-
     private fun servesVersion(status: EngineStatus, engine: Replica, model: String, version: WeightVersion): Boolean {
         val served = status.weights[model] ?: return false
         inputs.tracker.versionObserved(engine, model, served)
@@ -219,7 +212,8 @@
         }
         val inFlight = if (singleVersion) InFlightPolicy.FINISH else InFlightPolicy.CONTINUE
         val order = LoadOrder(model, version, inFlight, status.acceptedOrders)
-        val answer = duty.perform(MAX_ORDER_TIME) { term -> send(engine, order, FencingToken(self, term)) }
+        engineCalls.awaitPermission(engine, ExchangeKind.ORDER)
+        val answer = duty.perform(MAX_ORDER_TIME) { engineCalls.order(engine, order, FencingToken(self, it)) }
         emit("weights.ordered", engine, model, version, "based_on" to "${order.basedOn}", "answer" to "$answer")
         return when (answer) {
             is PlatformResult.Answered -> answer.value == OrderAnswer.ACCEPTED || answer.value == OrderAnswer.HOLDS
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
@@ -2,6 +2,9 @@
 
 import dev.vanillarun.core.store.SlotGrant
 import dev.vanillarun.core.store.TopicLog
+import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.time.SystemClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import kotlinx.coroutines.delay
@@ -22,7 +25,10 @@
     private val log: TopicLog,
     private val member: String,
     private val events: EventRecorder,
+    private val clock: MonotonicClock = SystemClock,
 ) {
+    @Volatile
+    private var grantedUntil: Instant? = null
     private val mutex = Mutex()
     private var hasLeft = false
     private val granted = MutableStateFlow(SlotGrant(generation = 0, emptySet()))
@@ -33,6 +39,9 @@
     /** True if the slot of [subject] is granted to this instance. */
     fun owns(subject: String): Boolean = slotOf(subject) in granted.value.slots
 
+    /** True if [owns], and the store cannot have given the slot of [subject] to another instance since. */
+    fun holds(subject: String): Boolean = owns(subject) && grantedUntil?.let { clock.now() < it } ?: false
+
     /** The slot of [subject]. */
     fun slotOf(subject: String): Int = subject.hashCode().mod(log.slotCount)
 
@@ -42,7 +51,13 @@
     }
 
     private suspend fun join(): Boolean {
-        if (!hasLeft) log.join(GROUP, member, granted.value.generation, TTL)?.let(::applyGrant)
+        val askedAt = clock.now()
+        if (!hasLeft) {
+            log.join(GROUP, member, granted.value.generation, TTL)?.let {
+                applyGrant(it)
+                grantedUntil = askedAt + TTL // the store counts from a later moment
+            }
+        }
         return !hasLeft
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
@@ -78,6 +78,8 @@
     public val slots: Int,
     /** Factor by which work takes longer on the machine of the target at the time of the report; one is usual. */
     public val slowdown: Double = 1.0,
+    /** True if the report carries the [slowdown], and so the state of the target's machine. */
+    public val reportsSlowdown: Boolean = false,
 )
 
 /** Protocol of the targets: header names and event format. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
@@ -2,7 +2,10 @@
 
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.time.SystemClock
 import dev.vanillarun.core.zone.Region
+import kotlin.time.Duration
 
 /** Properties of a request on which it may depend whether a target gets it. */
 public data class GatedRequest(
@@ -27,15 +30,75 @@
 
     /** Asked once, immediately before [request] is sent to [replica]; a gate that limits a rate counts it here. */
     public fun enter(replica: Replica, request: GatedRequest): GateRefusal? = refusal(replica, request)
+
+    /** Told once if [replica] responds with [head] to a [request] that passed [enter], before [ended]. */
+    public fun responded(replica: Replica, request: GatedRequest, head: ResponseHead): Unit = Unit
+
+    /** Told once for each [request] to [replica] that passed [enter], when it is over. */
+    public fun ended(replica: Replica, request: GatedRequest, end: RequestEnd): Unit = Unit
+
+    /** Told when no connection to [replica] could be opened. */
+    public fun unreachable(replica: Replica): Unit = Unit
+}
+
+/** How a request ended that had passed the gates. */
+public enum class RequestResult {
+    /** The target ran it and responded. */
+    ANSWERED,
+
+    /** The target declared that it did not run it. */
+    REFUSED,
+
+    /** The target broke it off, or its connection is dead. */
+    FAILED,
+
+    /** Another target responded, the response is invalid, or this instance gave it up. */
+    INCONCLUSIVE,
+
+    /** It was not sent and will not be. */
+    WITHHELD,
 }
 
-/** All gates that a request has to pass. */
-public class TargetGates(private val gates: List<TargetGate> = emptyList()) {
+/** End of a request that had passed the gates. */
+public data class RequestEnd(
+    /** Its result. */
+    public val result: RequestResult,
+    /** Time until the end. */
+    public val elapsed: Duration,
+    /** Time until the head of the response; null if none came. */
+    public val headAfter: Duration? = null,
+)
+
+/** All gates that a request has to pass; [clock] measures the requests. */
+public class TargetGates(
+    private val gates: List<TargetGate> = emptyList(),
+    internal val clock: MonotonicClock = SystemClock,
+) {
     /** Returns why [replica] gets no [request] now, null if it may; without effect. */
     public fun refusal(replica: Replica, request: GatedRequest): GateRefusal? =
         gates.firstNotNullOfOrNull { it.refusal(replica, request) }
 
     /** Passes all gates with [request], which is sent to [replica] at once, or returns why it must not be. */
-    public fun enter(replica: Replica, request: GatedRequest): GateRefusal? =
-        refusal(replica, request) ?: gates.firstNotNullOfOrNull { it.enter(replica, request) }
+    public fun enter(replica: Replica, request: GatedRequest): GateRefusal? {
+        val refusal = refusal(replica, request)
+        if (refusal != null) return refusal
+        gates.forEachIndexed { index, gate ->
+            val last = gate.enter(replica, request) ?: return@forEachIndexed
+            val withheld = RequestEnd(RequestResult.WITHHELD, Duration.ZERO)
+            gates.take(index).forEach { it.ended(replica, request, withheld) }
+            return last
+        }
+        return null
+    }
+
+    /** Passes the head of a response on to all gates, see [TargetGate.responded]. */
+    public fun responded(replica: Replica, request: GatedRequest, head: ResponseHead): Unit =
+        gates.forEach { it.responded(replica, request, head) }
+
+    /** Passes the end of a request on to all gates, see [TargetGate.ended]. */
+    public fun ended(replica: Replica, request: GatedRequest, end: RequestEnd): Unit =
+        gates.forEach { it.ended(replica, request, end) }
+
+    /** Passes on that [replica] could not be reached, see [TargetGate.unreachable]. */
+    public fun unreachable(replica: Replica): Unit = gates.forEach { it.unreachable(replica) }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -69,13 +69,14 @@
         val refusal = refusal(replica, gated)
         if (refusal != null) return SendResult.NotRun(refusal.reason, wrongTarget = false)
         var withheld: GateRefusal? = null
+        val passage = GatePassage(gates, replica, gated)
         val outgoing = TargetRequest(
             method = request.method,
             url = "http://${replica.address}${request.uri}",
             headers = dialect.headers(request, replica),
             body = request.body,
             sendGuard = {
-                withheld = departureRefusal(replica) ?: gates.enter(replica, gated)
+                withheld = departureRefusal(replica) ?: passage.enter()
                 withheld == null
             },
             id = request.id,
@@ -84,11 +85,15 @@
         try {
             val exchange = client.exchange(outgoing) { answer ->
                 val head = dialect.head(answer.status, answer.headers)
+                if (head.answers(request.id)) passage.responded(head)
                 validate(request, replica, OpenedResponse(head, answer, buffers), handle)
             }
             val last = withheld
-            return if (last == null) toResult(exchange, replica) else SendResult.NotRun(last.reason, false)
+            val result = if (last == null) toResult(exchange, replica) else SendResult.NotRun(last.reason, false)
+            passage.end(if (last == null) requestResult(exchange) else RequestResult.WITHHELD)
+            return result
         } finally {
+            passage.end(RequestResult.INCONCLUSIVE)
             tracker.requestEnded(replica)
         }
     }
@@ -141,6 +146,16 @@
             SendResult.Unknown("the connection is dead", BreakCause.CONNECTION_SILENT).also { tracker.failed(replica) }
     }
 
+    private fun requestResult(exchange: ExchangeResult<SendResult<*>>): RequestResult = when (exchange) {
+        is ExchangeResult.Answered -> when (val result = exchange.value) {
+            is SendResult.Answered -> RequestResult.ANSWERED
+            is SendResult.NotRun -> if (result.wrongTarget) RequestResult.INCONCLUSIVE else RequestResult.REFUSED
+            is SendResult.Unknown -> RequestResult.INCONCLUSIVE
+        }
+
+        is ExchangeResult.NotSent, is ExchangeResult.Broken, ExchangeResult.DeadConnection -> RequestResult.FAILED
+    }
+
     private fun note(refusal: SendResult.NotRun, replica: Replica) {
         if (refusal.wrongTarget) tracker.failed(replica) else tracker.overloaded(replica)
     }
