Order the items of several jobs by what can still be whole in time

Cause: across jobs only due time and priority counted, so that engines were spent on groups that were late or not needed. Change: GroupState before the due time in ItemOrder; one of eight assignments goes to what is due first. Result: WaitingItemTest passes with the former cases unchanged. Not yet used by the daemon.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
@@ -1,5 +1,7 @@
 package dev.vanillarun.core.job
 
+import kotlin.time.Duration
+
 /** Queued item that waits for a target, with the values that decide its place in the queue. */
 public data class WaitingItem(
     /** Job that the item belongs to. */
@@ -14,15 +16,34 @@
     public val begun: Boolean,
     /** Rank of its group within the job, see [groupRanks]. */
     public val groupRank: Int,
+    /** State of its group, which decides between the groups of all jobs. */
+    public val group: GroupState = GroupState.NEW,
 )
 
+/** State of a group with regard to a shortage of engines; the first one is served first. */
+public enum class GroupState {
+    /** Some of its items have run, and all can be done in time. */
+    BEGUN,
+
+    /** No item has run; all can be done in time. */
+    NEW,
+
+    /** Its job is complete without it. */
+    SURPLUS,
+
+    /** It cannot be complete in time. */
+    LATE,
+}
+
 /**
  * Order in which queued items are assigned to targets.
  *
- * The job that is due first is served first. Within a job, an interrupted item precedes the items that have not
+ * A group counts only when it is complete and in time, so the state of the groups comes first. Among groups of equal
+ * state, the job that is due first is served first. Within a job, an interrupted item precedes the items that have not
  * started, because its group has already used the most time.
  */
 public val ItemOrder: Comparator<WaitingItem> = compareBy(
+    { it.group },
     { it.dueAt },
     { it.priority },
     { !it.begun },
@@ -30,6 +51,38 @@
     { -it.item.expectedWork },
 )
 
+/**
+ * Returns [waiting] in the order of assignment, given that [assigned] items were assigned before.
+ *
+ * Follows [ItemOrder], but one of [AGED_SHARE] places goes to the item that is due first of all whatever the state of its
+ * group, so that late and surplus groups do not starve.
+ */
+public fun assignmentOrder(waiting: List<WaitingItem>, assigned: Long): List<WaitingItem> {
+    val ordered = waiting.sortedWith(ItemOrder)
+    if (ordered.all { it.group == ordered.first().group }) return ordered
+    val first = (AGED_SHARE - 1 - assigned % AGED_SHARE).toInt()
+    val places = (first until ordered.size step AGED_SHARE).toSet()
+    val aged = ordered.sortedBy { it.dueAt }.take(places.size)
+    val agedKeys = aged.mapTo(HashSet()) { it.job to it.item.id }
+    val others = ordered.filter { (it.job to it.item.id) !in agedKeys }.iterator()
+    val turns = aged.iterator()
+    return ordered.indices.map { if (it in places) turns.next() else others.next() }
+}
+
+/** Of this many assigned items one is that which is due first. */
+public const val AGED_SHARE: Int = 8
+
+/**
+ * Returns the state of a group of which [left] is the longest expected run time of its open items at [now], in Unix
+ * milliseconds, and which is due at [dueAt].
+ */
+public fun groupState(isBegun: Boolean, isNeeded: Boolean, left: Duration, now: Long, dueAt: Long): GroupState = when {
+    now + left.inWholeMilliseconds >= dueAt -> GroupState.LATE
+    !isNeeded -> GroupState.SURPLUS
+    isBegun -> GroupState.BEGUN
+    else -> GroupState.NEW
+}
+
 /** Expected work in generated tokens; the upper bound of the tokens if the submitter gave no estimate. */
 internal val JobItem.expectedWork: Long get() = expectedTokens ?: tokens
 
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/WaitingItemTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/WaitingItemTest.kt
@@ -3,6 +3,12 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.enum
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.time.Duration.Companion.seconds
 
 private fun item(name: String, group: String, expected: Long) =
     JobItem(ItemId(name), path = "/", group = group, expectedTokens = expected)
@@ -49,4 +55,34 @@
                     .shouldContainExactly(begun, first, long, short, late)
             }
         }
+        describe("items of several jobs while engines are few") {
+            it("go by the state of their group: begun, new, surplus, late") {
+                val states = GroupState.entries.reversed()
+                val items = states.mapIndexed { due, state ->
+                    waiting(item("$state", "$state", 1), due = due.toLong()).copy(group = state)
+                }
+                assignmentOrder(items, assigned = 0).map { it.group } shouldBe GroupState.entries
+            }
+            it("keep all items, and go by the order alone while all groups have the same state") {
+                checkAll(Arb.list(Arb.enum<GroupState>(), 0..40), Arb.long(0L..100)) { states, assigned ->
+                    val items = states.mapIndexed { at, state ->
+                        waiting(item("i$at", "g", 1), due = at * 7L % 5).copy(group = state)
+                    }
+                    assignmentOrder(items, assigned).toSet() shouldBe items.toSet()
+                    if (states.distinct().size < 2) assignmentOrder(items, assigned) shouldBe items.sortedWith(ItemOrder)
+                }
+            }
+            it("never starve: one of eight assignments goes to the item that is due first") {
+                val late = waiting(item("late", "l", 1), due = 0).copy(group = GroupState.LATE)
+                val others = List(20) { waiting(item("i$it", "g$it", 1), due = 9).copy(group = GroupState.BEGUN) }
+                (0L until AGED_SHARE).count { assignmentOrder(others + late, it).first() == late } shouldBe 1
+            }
+            it("are late once the expected rest does not fit before the due time") {
+                groupState(true, isNeeded = true, left = 2.seconds, now = 5000, dueAt = 7500) shouldBe GroupState.BEGUN
+                groupState(false, isNeeded = true, left = 2.seconds, now = 5000, dueAt = 7500) shouldBe GroupState.NEW
+                groupState(true, isNeeded = false, left = 2.seconds, now = 5000, dueAt = 7500) shouldBe
+                    GroupState.SURPLUS
+                groupState(true, isNeeded = true, left = 3.seconds, now = 5000, dueAt = 7500) shouldBe GroupState.LATE
+            }
+        }
     })
