Bound the retries of refused calls, and wait or refuse by when room is expected

Cause: a refused live call went on to four targets in all, without a bound over calls; while all targets backed off it was refused at once however soon that ended, and Retry-After was a quarter of the objective also beyond a third of the time left.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -203,7 +203,7 @@
         val outcome = if (isStream) streams.serve(request, sink) else live.serve(request)
         return when (outcome) {
             is LiveOutcome.Complete -> outcome.run { Reply(status, "answered", body, headers, source = source) }
-            is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, retryAfter(request.route))
+            is LiveOutcome.NotRun -> Reply.notRun(outcome.reason, live.retryAfter(request))
             is LiveOutcome.Unknown -> Reply(if (outcome.timedOut) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
             is LiveOutcome.Streamed -> Reply.streamed(outcome)
         }
@@ -231,9 +231,6 @@
     private val CallerCall.longest: Duration
         get() = MAX_JOB_CALL_TIME + if (this is CallerCall.Results) wait else Duration.ZERO
 
-    /** Short enough for another attempt within the objective, long enough for a slot to become free. */
-    private fun retryAfter(route: CatalogRoute): Duration = route.objective / RETRIES_IN_OBJECTIVE
-
     private suspend fun ApplicationCall.send(reply: Reply) {
         reply.headers.forEach { name, values ->
             val isSet = name.equals(HttpHeaders.ContentType, ignoreCase = true) || name in response.headers
@@ -252,7 +249,6 @@
         const val NOT_FOUND = 404
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
-        const val RETRIES_IN_OBJECTIVE = 4
         val UnknownKey = Reply(UNAUTHORIZED, "the key is unknown")
         val NoRoute = Reply(NOT_FOUND, "no route")
         val NOT_READY_RETRY_AFTER = 300.milliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlin.random.Random
 import kotlin.time.Duration
 
 /**
@@ -37,11 +38,18 @@
     private val crashes: CrashBoard,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
+    random: Random = Random.Default,
 ) {
+    private val room = LiveRoom(chooser, tracker, clock, random)
+    private val retries = RefusalRetries(random, MAX_SENDS)
+
+    /** Requests, by kind, that got no further target after a refusal because the budget of retries was spent. */
+    val retriesWithheld: Map<String, Long> get() = retries.withheld
+
     private sealed interface Attempt {
         class Answer(val outcome: LiveOutcome.Complete) : Attempt
 
-        class NotRun(val reason: String) : Attempt
+        class NotRun(val reason: String, val refused: Boolean) : Attempt
 
         class Unknown(val reason: String, val connection: ConnectionUse?) : Attempt
     }
@@ -51,7 +59,11 @@
     /** Sends [request] to targets until one responds, the attempts are used up or the deadline passes. */
     suspend fun serve(request: LiveRequest): LiveOutcome {
         if (crashes.isRefused(request)) return LiveOutcome.NotRun("the request broke off at several targets")
-        if (request.repeatable && chooser.isFull(request)) return LiveOutcome.NotRun("all targets are full")
+        if (request.repeatable && !room.awaitRoom(request)) {
+            events.record("call.refused_full", EventLinks(request = request.id), mapOf("kind" to request.kind.label))
+            return LiveOutcome.NotRun("all targets are full")
+        }
+        retries.firstAttempt(request)
         return coroutineScope {
             val serving = Serving(request, this)
             try {
@@ -62,6 +74,9 @@
         }
     }
 
+    /** Time after which the caller of [request], which was not run, should come back. */
+    fun retryAfter(request: LiveRequest): Duration = room.retryAfter(request)
+
     private inner class Serving(private val request: LiveRequest, private val scope: CoroutineScope) {
         private val results = Channel<Attempt>(Channel.UNLIMITED)
         private val attempts = mutableListOf<InFlightAttempt>()
@@ -106,7 +121,10 @@
                     reason = "the target failed with ${result.outcome.status}"
                 }
 
-                is Attempt.NotRun -> reason = result.reason
+                is Attempt.NotRun -> {
+                    reason = result.reason
+                    if (result.refused && !retries.permits(request, triedIds.size, clock.now())) return null
+                }
 
                 is Attempt.Unknown -> {
                     mayHaveRun++
@@ -152,11 +170,12 @@
             }
             val result = when (sent) {
                 is SendResult.Answered -> sent.value
-                is SendResult.NotRun -> Attempt.NotRun(sent.reason)
+                is SendResult.NotRun -> Attempt.NotRun(sent.reason, sent.refused)
                 is SendResult.Unknown -> Attempt.Unknown(sent.reason, sent.connection)
             }
             val elapsed = clock.now() - sentAt
             if (result !is Attempt.NotRun) request.markRunning(sentAt)
+            if (result is Attempt.NotRun && result.refused) room.refused(replica)
             if (result is Attempt.Answer) {
                 tracker.latencyObserved(replica, elapsed)
                 crashes.completed(request)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -64,7 +64,7 @@
     }
 
     /** Targets that no gate withholds from [request]. */
-    private fun open(request: LiveRequest): List<Replica> = request.route.services
+    fun open(request: LiveRequest): List<Replica> = request.route.services
         .flatMap { departures.eligible(it.service) }
         .filter { gates.refusal(it, request.gated) == null }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -27,6 +27,8 @@
         public val reason: String,
         /** True if another target responded at the address. */
         public val wrongTarget: Boolean,
+        /** True if the target itself refused the request for lack of capacity. */
+        public val refused: Boolean = false,
     ) : SendResult<Nothing>
 
     /** The target may have run the request. */
@@ -122,7 +124,7 @@
         tracker.responseReceived(replica, head)
         if (!head.notRun) return SendResult.Answered(handle(answer))
         withTimeoutOrNull(REFUSAL_BODY_TIMEOUT) { answer.readBody(MAX_REFUSAL_BYTES) }
-        return SendResult.NotRun("the target refused with ${head.status}", wrongTarget = false)
+        return SendResult.NotRun("the target refused with ${head.status}", wrongTarget = false, refused = true)
     }
 
     private fun <T> toResult(result: ExchangeResult<SendResult<T>>, replica: Replica): SendResult<T> = when (result) {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveTestFixture.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.live
 
 import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.time.SystemClock
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.core.zone.DataCentre
@@ -28,22 +29,26 @@
 )
 
 /** Runs [test] with [count] targets of the service `desk` at `t0:80`, `t1:80` and so on. */
-internal suspend fun withTargets(count: Int, test: suspend LiveTestFixture.() -> Unit): Unit = coroutineScope {
+internal suspend fun withTargets(
+    count: Int,
+    clock: MonotonicClock = SystemClock,
+    test: suspend LiveTestFixture.() -> Unit,
+): Unit = coroutineScope {
     val log = FakeTopicLog()
     repeat(count) { FakeCodec.announce(log, "t$it", "desk ready") }
-    val replicas = ReplicaSource(log, FakeCodec, SystemClock, NoOpEventRecorder)
+    val replicas = ReplicaSource(log, FakeCodec, clock, NoOpEventRecorder)
     launch { replicas.follower.run() }
     replicas.replicas.first { it.size == count }
     val targets = FakeTargets()
-    val tracker = TargetTracker(SystemClock)
+    val tracker = TargetTracker(clock)
     val appender = DurableAppender(log, TopicName("crashes", keyed = false), "p", NoOpEventRecorder)
     launch { appender.run() }
-    val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), SystemClock, NoOpEventRecorder)
-    val departures = DepartureBoard(replicas, 2.seconds, SystemClock, System::currentTimeMillis, NoOpEventRecorder)
+    val crashes = CrashBoard(log, appender, CoroutineScope(coroutineContext), clock, NoOpEventRecorder)
+    val departures = DepartureBoard(replicas, 2.seconds, clock, System::currentTimeMillis, NoOpEventRecorder)
     val gateway = TargetGateway(targets, targets, tracker, departures)
-    val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), SystemClock)
-    val live = LiveForwarder(chooser, gateway, tracker, crashes, SystemClock, NoOpEventRecorder)
-    val streams = StreamForwarder(chooser, gateway, targets, tracker, crashes, SystemClock, NoOpEventRecorder)
+    val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), clock)
+    val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, NoOpEventRecorder)
+    val streams = StreamForwarder(chooser, gateway, targets, tracker, crashes, clock, NoOpEventRecorder)
     LiveTestFixture(targets, gateway, live, streams).test()
     coroutineContext.cancelChildren()
 }
