Dispatch rewards in turn through a window, and items by the state of their groups

Cause: each instance sent a refused reward again every 40 ms to up to four targets; across jobs only due time and priority decided which items got the engines. ItemTable gives groupStates, which now let a surplus group replace a late one; JobRunner assigns by assignmentOrder.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
@@ -1,7 +1,5 @@
 package dev.vanillarun.core.job
 
-import kotlin.time.Duration
-
 /** Queued item that waits for a target, with the values that decide its place in the queue. */
 public data class WaitingItem(
     /** Job that the item belongs to. */
@@ -20,21 +18,6 @@
     public val group: GroupState = GroupState.NEW,
 )
 
-/** State of a group with regard to a shortage of engines; the first one is served first. */
-public enum class GroupState {
-    /** Some of its items have run, and all can be done in time. */
-    BEGUN,
-
-    /** No item has run; all can be done in time. */
-    NEW,
-
-    /** Its job is complete without it. */
-    SURPLUS,
-
-    /** It cannot be complete in time. */
-    LATE,
-}
-
 /**
  * Order in which queued items are assigned to targets.
  *
@@ -72,17 +55,6 @@
 /** Of this many assigned items one is that which is due first. */
 public const val AGED_SHARE: Int = 8
 
-/**
- * Returns the state of a group of which [left] is the longest expected run time of its open items at [now], in Unix
- * milliseconds, and which is due at [dueAt].
- */
-public fun groupState(isBegun: Boolean, isNeeded: Boolean, left: Duration, now: Long, dueAt: Long): GroupState = when {
-    now + left.inWholeMilliseconds >= dueAt -> GroupState.LATE
-    !isNeeded -> GroupState.SURPLUS
-    isBegun -> GroupState.BEGUN
-    else -> GroupState.NEW
-}
-
 /** Expected work in generated tokens; the upper bound of the tokens if the submitter gave no estimate. */
 internal val JobItem.expectedWork: Long get() = expectedTokens ?: tokens
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/sample/DispatchWindow.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/sample/DispatchWindow.kt
@@ -38,7 +38,11 @@
     public fun attemptRejected(now: Instant, retryAfter: Duration, running: Int = size): DispatchWindow {
         val backoffEnd = backoffUntil
         if (backoffEnd != null && now < backoffEnd) return this
-        return copy(size = maxOf(minOf(size, running) / 2, minSize), backoffUntil = now + retryAfter, completedSinceGrowth = 0)
+        return copy(
+            size = maxOf(minOf(size, running) / 2, minSize),
+            backoffUntil = now + retryAfter,
+            completedSinceGrowth = 0,
+        )
     }
 
     /** Number of attempts that may start at [now] while [running] are in flight; zero during a backoff. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -46,6 +46,7 @@
 import dev.vanillarun.hosted.job.RunnerInputs
 import dev.vanillarun.hosted.job.SampleRunner
 import dev.vanillarun.hosted.job.SlotMembership
+import dev.vanillarun.hosted.job.registerRoom
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
@@ -153,10 +154,11 @@
         clock = clock,
     )
 
+    private val rewards = RewardCaller(catalog, live, clock, events)
     private val runner = JobRunner(
         inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates),
         samples = SampleRunner(gateway, ports.targets, tracker, clock),
-        rewards = RewardCaller(catalog, live, clock, events),
+        rewards = rewards,
         appender = jobAppender,
         writer = writer,
         clock = clock,
@@ -212,6 +214,7 @@
     init {
         ports.client.onStrayAnswer(strays)
         metrics.registerTargets(departures, strays, gateway)
+        metrics.registerRoom(rewards, live)
     }
 
     @Volatile
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -2,13 +2,19 @@
 
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.job.GroupProgress
+import dev.vanillarun.core.job.GroupState
 import dev.vanillarun.core.job.ItemId
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.job.RunTime
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.core.job.groupRanks
+import dev.vanillarun.core.job.groupStates
+import dev.vanillarun.core.reward.RewardGroup
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import kotlin.time.Duration
@@ -30,7 +36,10 @@
 internal class RecordedResult(val task: SampleTask, val result: ItemResult, val attempt: Int, val at: Instant)
 
 /** Runs, conclusions and progress of the items of this instance; confined to the thread of the [JobRunner]. */
-internal class ItemTable(private val clock: MonotonicClock) {
+internal class ItemTable(
+    private val clock: MonotonicClock,
+    private val wallClock: () -> Long = System::currentTimeMillis,
+) {
     /** Work in progress. */
     val running = HashMap<RunKey, ActiveRun>()
 
@@ -40,6 +49,32 @@
     /** Results that the store confirmed but that are not listed yet. */
     val concluded = HashMap<RunKey, RecordedResult>()
     private val groups = HashMap<JobId, Map<String, Int>>()
+    private val rewardGroups = HashMap<JobId, HashMap<String, RewardGroup>>()
+
+    /** Time that items take at least, learned from runs. */
+    var runTime = RunTime()
+        private set
+
+    /** Records that a run of the whole [item] took [elapsed]. */
+    fun runCompleted(item: JobItem, elapsed: Duration) {
+        runTime = runTime.observed(item, elapsed)
+    }
+
+    /** Group of the item of [task] whose job has [view], with results due at [dueAt]. */
+    fun rewardGroup(task: SampleTask, view: JobView?, dueAt: Instant): RewardGroup =
+        rewardGroups.getOrPut(task.job.id) { HashMap() }.getOrPut(task.item.group) {
+            val members = task.job.items.filter { it.group == task.item.group }
+            RewardGroup(dueAt, members.count { view?.positions?.containsKey(it.id) != true })
+        }
+
+    /** Records that the store confirmed [recorded]. */
+    fun conclude(recorded: RecordedResult) {
+        val task = recorded.task
+        val key = RunKey(task.job.id, task.item.id)
+        concluded[key] = recorded
+        running.remove(key)
+        rewardGroups[task.job.id]?.get(task.item.group)?.let { it.openItems-- }
+    }
 
     /** Start times of the runs at each engine; engines without any are absent. */
     fun runs(): Map<TargetId, List<Instant>> =
@@ -57,6 +92,7 @@
         }
         concluded.keys.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
         groups.keys.retainAll { it in open }
+        rewardGroups.keys.retainAll { it in open }
         evictClosed(views)
     }
 
@@ -82,24 +118,43 @@
     fun waiting(view: JobView, route: CatalogRoute): List<WaitingItem> {
         val job = view.job ?: return emptyList()
         val ranks = groups.getOrPut(job.id) { groupRanks(job, returnedGroups(job)) }
-        val objective = route.jobObjective ?: route.timeout
         val now = clock.now()
+        val dueAt = job.dueAt(route)
+        val states = groupStates(progressOf(view, job, ranks), job.desiredGroups, wallClock(), dueAt)
         return job.items.filter { item ->
             val key = RunKey(job.id, item.id)
             val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
-            due && item.id !in view.positions && key !in running && key !in concluded
+            due && isWaiting(view, key)
         }.map { item ->
             WaitingItem(
                 job = job.id,
                 item = item,
-                dueAt = job.submittedAt + objective.inWholeMilliseconds,
+                dueAt = dueAt,
                 priority = route.priority,
-                begun = progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false,
+                begun = hasEvents(item),
                 groupRank = ranks[item.group] ?: 0,
+                group = states[item.group] ?: GroupState.NEW,
             )
         }
     }
 
+    private fun progressOf(view: JobView, job: Job, ranks: Map<String, Int>): List<GroupProgress> =
+        job.items.groupBy { it.group }.map { (group, members) ->
+            val waiting = members.filter { isWaiting(view, RunKey(job.id, it.id)) && !hasEvents(it) }
+            GroupProgress(
+                group = group,
+                rank = ranks[group] ?: 0,
+                isBegun = waiting.size < members.size,
+                left = waiting.maxOfOrNull(runTime::shortest) ?: Duration.ZERO,
+            )
+        }
+
+    private fun hasEvents(item: JobItem): Boolean =
+        progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false
+
+    private fun isWaiting(view: JobView, key: RunKey): Boolean =
+        key.item !in view.positions && key !in running && key !in concluded
+
     private fun returnedGroups(job: Job): Set<String> =
         job.items.filter { it.id in progress }.mapTo(HashSet()) { it.group }
 
@@ -125,3 +180,7 @@
         const val MAX_CLOSED_ITEMS = 8192
     }
 }
+
+/** Time at which the results of a job on [route] are due, in Unix milliseconds. */
+internal fun Job.dueAt(route: CatalogRoute): Long =
+    submittedAt + (route.jobObjective ?: route.timeout).inWholeMilliseconds
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -3,15 +3,16 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
-import dev.vanillarun.core.job.ItemOrder
 import dev.vanillarun.core.job.ItemResult
 import dev.vanillarun.core.job.ItemState
 import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
+import dev.vanillarun.core.job.RewardCall
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
+import dev.vanillarun.core.job.assignmentOrder
 import dev.vanillarun.core.store.TopicAppendResult
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
@@ -74,10 +75,11 @@
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val items = ItemTable(clock)
+    private val items = ItemTable(clock, wallClock)
     private val running = items.running
     private val progress = items.progress
     private val loader = ItemLoader(inputs.board)
+    private var assigned = 0L
 
     /** Runs until the calling coroutine is cancelled. */
     suspend fun run(): Nothing = withContext(confined) {
@@ -156,8 +158,9 @@
 
     private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
         val waiting = mine.flatMap { view -> view.job?.let(::route)?.let { items.waiting(view, it) }.orEmpty() }
-            .sortedWith(ItemOrder)
-        waiting.forEach { item -> dispatch(scope, mine.first { it.job?.id == item.job }, item) }
+        assignmentOrder(waiting, assigned).forEach { item ->
+            dispatch(scope, mine.first { it.job?.id == item.job }, item)
+        }
     }
 
     private fun isMine(view: JobView): Boolean = isOwned(view) && view.job?.let(::route) != null
@@ -184,6 +187,7 @@
         val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
         val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
+        assigned++
         takeover.itemSent(inputs.slots.slotOf(job.subject))
         running[key] = ActiveRun(work, engine.id, task, clock.now())
     }
@@ -246,6 +250,11 @@
             "end" to end.describe(),
             "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
         )
+        if (end is RunOutcome.Complete &&
+            before.transcript.lastEventNumber == 0L
+        ) {
+            items.runCompleted(task.item, elapsed)
+        }
         progress[task.item.id] = before.afterRun(end, clock.now())
         wake.trySend(Unit)
         val conclusion = when (end) {
@@ -265,7 +274,7 @@
     /** Scores the complete text of [task] if it has a reward call and records the result, or records it as aborted. */
     private suspend fun conclude(task: SampleTask, conclusion: Conclusion, transcript: Transcript) {
         val reward = task.item.reward
-        val scored = if (conclusion == Conclusion.SCORE && reward != null) rewards.score(reward) else null
+        val scored = if (conclusion == Conclusion.SCORE && reward != null) score(task, reward) else null
         when {
             conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted ->
                 record(task, ItemState.ABORTED, transcript)
@@ -274,6 +283,12 @@
         }
     }
 
+    private suspend fun score(task: SampleTask, reward: RewardCall): RewardResult {
+        val left = (task.job.dueAt(task.route) - wallClock()).milliseconds
+        val view = inputs.board.table.value.jobs[task.job.id]
+        return rewards.score(reward, items.rewardGroup(task, view, clock.now() + left))
+    }
+
     private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
         val completed = state == ItemState.COMPLETED
         val result = ItemResult(
@@ -294,9 +309,7 @@
         }
         val state = result.state.name.lowercase()
         recordEvent("item.recorded", task, "state" to state, "versions" to "${result.versions}")
-        val key = RunKey(task.job.id, task.item.id)
-        items.concluded[key] = RecordedResult(task, result, attempt, clock.now())
-        running.remove(key)
+        items.conclude(RecordedResult(task, result, attempt, clock.now()))
     }
 
     /**
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -2,6 +2,8 @@
 
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.job.RewardCall
+import dev.vanillarun.core.reward.RewardCallEnd
+import dev.vanillarun.core.reward.RewardGroup
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -13,6 +15,8 @@
 import io.ktor.http.Headers
 import kotlinx.coroutines.delay
 import java.util.Base64
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Result of a reward call. */
@@ -24,36 +28,65 @@
     data object AttemptsExhausted : RewardResult
 }
 
-/** Calls plain services to score samples. */
+/** Calls plain services to score samples, in the order and at the rate that the service has room for. */
 internal class RewardCaller(
     private val catalog: CatalogSource,
     private val live: LiveForwarder,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
-    /** Retries [call] until it succeeds or the maximum attempts of its route have failed. */
-    suspend fun score(call: RewardCall): RewardResult {
+    private val lanes = ConcurrentHashMap<String, RewardLane>()
+
+    /** Calls that wait for the window, by route. */
+    val waiting: Map<String, Double> get() = lanes.mapValues { it.value.waiting.toDouble() }
+
+    /** Maximum number of calls in flight, by route. */
+    val windows: Map<String, Double> get() = lanes.mapValues { it.value.window.toDouble() }
+
+    /** Repeats that the budget of repeats did not cover, by route. */
+    val repeatsWithheld: Map<String, Long> get() = lanes.mapValues { it.value.repeatsWithheld }
+
+    /** Retries [call] for an item of [group] until it succeeds or the maximum attempts of its route have failed. */
+    suspend fun score(call: RewardCall, group: RewardGroup = RewardGroup()): RewardResult {
         var errors = 0
+        var failures = 0
         while (true) {
             val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
-            val outcome = route?.let { live.serve(request(call, it)) }
+            val lane = route?.let { lanes.computeIfAbsent(it.name) { name -> RewardLane(name, clock, events) } }
+            if (failures == 0) lane?.firstAttempt()
+            val outcome = if (lane == null) null else attempt(call, route, group, lane)
             if (outcome is LiveOutcome.Complete) {
                 val signature = outcome.signature
                 if (outcome.status < FIRST_ERROR && signature != null) return RewardResult.Scored(signature)
                 errors += outcome.serverErrors
-                if (errors >= route.maxAttempts) return RewardResult.AttemptsExhausted
+                if (errors >= route?.maxAttempts ?: 1) return RewardResult.AttemptsExhausted
             }
-            val attributes = mapOf("errors" to "$errors", "route" to route?.name.orEmpty())
+            failures++
+            val pause = lane?.repeatDelay(failures) ?: NO_ROUTE_DELAY
+            val attributes = mapOf(
+                "errors" to "$errors",
+                "route" to route?.name.orEmpty(),
+                "pause_ms" to "${pause.inWholeMilliseconds}",
+            )
             events.record("reward.retried", EventLinks(request = call.id), attributes)
-            delay(RETRY_INTERVAL)
+            delay(pause)
         }
     }
 
+    private suspend fun attempt(call: RewardCall, route: CatalogRoute, group: RewardGroup, lane: RewardLane) =
+        lane.inTurn(group, ::endOf) { live.serve(request(call, route, group)) }
+
+    private fun endOf(outcome: LiveOutcome): RewardCallEnd = when (outcome) {
+        is LiveOutcome.Complete -> RewardCallEnd.ANSWERED
+        is LiveOutcome.NotRun -> RewardCallEnd.REFUSED
+        is LiveOutcome.Streamed, is LiveOutcome.Unknown -> RewardCallEnd.OTHER
+    }
+
     /**
      * No caller waits for a single reward, so the hedge is sent only after the full objective: a useless hedge occupies
      * a slot of a service that live callers share, and cancelling it costs a connection.
      */
-    private fun request(call: RewardCall, route: CatalogRoute): LiveRequest {
+    private fun request(call: RewardCall, route: CatalogRoute, group: RewardGroup): LiveRequest {
         val now = clock.now()
         return LiveRequest(
             id = call.id,
@@ -69,13 +102,20 @@
             hedgeDelay = route.objective,
             mayBeQuarantined = false,
             kind = ExchangeKind.REWARD,
+            yieldsPriority = !isNearDue(group, route),
         )
     }
 
+    /** True if the group of a reward needs it as urgently as a live caller needs an answer. */
+    private fun isNearDue(group: RewardGroup, route: CatalogRoute): Boolean {
+        val left = group.dueAt?.let { it - clock.now() } ?: return false
+        return left in Duration.ZERO..route.timeout
+    }
+
     private companion object {
         const val FIRST_ERROR = 300
 
-        /** Delay between calls; a fraction of a typical service time. */
-        val RETRY_INTERVAL = 40.milliseconds
+        /** Delay before the route of a call is looked up again. */
+        val NO_ROUTE_DELAY = 500.milliseconds
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -37,6 +37,8 @@
     val mayBeQuarantined: Boolean = true,
     /** Kind of the exchanges with targets. */
     val kind: ExchangeKind = if (route.kind == RequestKind.STREAM) ExchangeKind.STREAM else ExchangeKind.LIVE,
+    /** True if live calls of equal priority go first at the targets. */
+    val yieldsPriority: Boolean = false,
     /** Called before each attempt, with its target. */
     val onPassedOn: (target: TargetId, at: Instant) -> Unit = { _, _ -> },
     private val onRunning: (since: Instant) -> Unit = {},
@@ -55,7 +57,7 @@
     val repeatable: Boolean get() = route.kind == RequestKind.IDEMPOTENT
 
     /** Priority rank, 0 first; the customer's takes precedence over the route's. */
-    val priority: Int get() = customer?.priority ?: route.priority
+    val priority: Int get() = (customer?.priority ?: route.priority) + if (yieldsPriority) 1 else 0
 
     /** What gates may know of the request. */
     val gated: GatedRequest get() = GatedRequest(kind)
