--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
@@ -14,15 +14,19 @@
     public val begun: Boolean,
     /** Rank of its group within the job, see [groupRanks]. */
     public val groupRank: Int,
+    /** State of its group, which decides between the groups of all jobs. */
+    public val group: GroupState = GroupState.NEW,
 )
 
 /**
  * Order in which queued items are assigned to targets.
  *
- * The job that is due first is served first. Within a job, an interrupted item precedes the items that have not
+ * A group counts only when it is complete and in time, so the state of the groups comes first. Among groups of equal
+ * state, the job that is due first is served first. Within a job, an interrupted item precedes the items that have not
  * started, because its group has already used the most time.
  */
 public val ItemOrder: Comparator<WaitingItem> = compareBy(
+    { it.group },
     { it.dueAt },
     { it.priority },
     { !it.begun },
@@ -30,6 +34,27 @@
     { -it.item.expectedWork },
 )
 
+/**
+ * Returns [waiting] in the order of assignment, given that [assigned] items were assigned before.
+ *
+ * Follows [ItemOrder], but one of [AGED_SHARE] places goes to the item that is due first of all whatever the state of its
+ * group, so that late and surplus groups do not starve.
+ */
+public fun assignmentOrder(waiting: List<WaitingItem>, assigned: Long): List<WaitingItem> {
+    val ordered = waiting.sortedWith(ItemOrder)
+    if (ordered.all { it.group == ordered.first().group }) return ordered
+    val first = (AGED_SHARE - 1 - assigned % AGED_SHARE).toInt()
+    val places = (first until ordered.size step AGED_SHARE).toSet()
+    val aged = ordered.sortedBy { it.dueAt }.take(places.size)
+    val agedKeys = aged.mapTo(HashSet()) { it.job to it.item.id }
+    val others = ordered.filter { (it.job to it.item.id) !in agedKeys }.iterator()
+    val turns = aged.iterator()
+    return ordered.indices.map { if (it in places) turns.next() else others.next() }
+}
+
+/** Of this many assigned items one is that which is due first. */
+public const val AGED_SHARE: Int = 8
+
 /** Expected work in generated tokens; the upper bound of the tokens if the submitter gave no estimate. */
 internal val JobItem.expectedWork: Long get() = expectedTokens ?: tokens
 
