Choose the targets of calls in the hosted daemon by core.routing

ExpectedCompletionSelector takes what differs as parameters (connection, data centre, load, random part, estimate of the requests in flight, speed assumed of unobserved targets); ForCalls holds those of the hosted daemon, the defaults decide as before in the standalone one.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
@@ -6,32 +6,18 @@
 import java.util.SplittableRandom
 import kotlin.math.max
 import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/** Parameters of [ExpectedCompletionSelector]. */
-public data class CompletionParameters(
-    /** Assumed round-trip time to a target in another data centre. */
-    public val remoteRoundTrip: Duration = 2.milliseconds,
-    /** Relative distance from the best score within which targets count as equal. */
-    public val tolerance: Double = 0.05,
-    /** Fraction by which cost increases the score of the most expensive target; cheaper ones in proportion. */
-    public val maxCostPenalty: Double = 0.02,
-    /** Load per slot, as a multiple of the mean, above which a cached prefix is no longer taken into account. */
-    public val maxPrefixCrowding: Double = 1.25,
-)
-
 /**
  * Selects the target with the lowest expected completion time of the request.
  *
- * The expected time is computed from the target's learned speed and the estimated number of requests in flight. A
- * target of unknown speed is assumed to have the median speed of the known ones. A new or returning target warms up: it
- * gets few requests until it has completed some. Among nearly equal targets, requests with the same prefix go to the
- * same target; other requests go to a random one, so that instances with the same reports do not all select alike.
+ * The expected time is computed from the target's learned speed and the estimated number of requests in flight, and
+ * increased where [params] say so. A target of unknown speed gets that of [CompletionParameters.unknownSpeed]. A new or
+ * returning target warms up: it gets few requests until it has completed some. [CompletionParameters.tieBreak] decides
+ * among nearly equal targets. [local] is the data centre of this instance; null if that of a target does not matter.
  */
 public class ExpectedCompletionSelector(
-    private val local: DataCentre,
+    private val local: DataCentre?,
     private val random: Random,
     private val params: CompletionParameters = CompletionParameters(),
 ) : TargetSelector {
@@ -44,64 +30,83 @@
         val open = candidates.eligible(request, excluded)
         if (open.size <= 1) return open.firstOrNull()?.id
         val pool = open.filterNot { it.isWarmingUp() }.ifEmpty { open }
-        val scores = scores(pool, request, now)
+        val scores = scores(pool, assumedSecondsPerToken(candidates, pool), request, now)
         val limit = scores.min() * (1 + params.tolerance)
         val near = pool.filterIndexed { i, _ -> scores[i] <= limit }
-        return choose(near, request).id
+        return choose(near, request, now).id
     }
 
-    private fun choose(near: List<TargetView>, request: RequestProfile): TargetView {
-        val prefix = request.prefix ?: return near.random(random)
-        return near.maxBy { rendezvous(prefix, it.id) }
+    private fun choose(near: List<TargetView>, request: RequestProfile, now: Instant): TargetView {
+        val prefix = request.prefix
+        return when {
+            near.size == 1 -> near.single()
+            params.tieBreak == TieBreak.LEAST_LOADED -> near.minWith(compareBy({ it.load(now) }, { it.id.value }))
+            prefix == null -> near.random(random)
+            else -> near.maxBy { rendezvous(prefix, it.id) }
+        }
     }
 
-    private fun scores(pool: List<TargetView>, request: RequestProfile, now: Instant): DoubleArray {
-        val medianSecondsPerToken = medianSecondsPerToken(pool)
+    private fun scores(pool: List<TargetView>, assumed: Double, request: RequestProfile, now: Instant): DoubleArray {
         val maxCost = max(1L, pool.maxOf { it.costPerHourMilli })
-        val depths = DoubleArray(pool.size) { pool[it].stats.depth(now, pool[it].concurrency) }
-        val crowding = depths.sum() / pool.sumOf { it.concurrency.coerceAtLeast(1) }
+        val depths = DoubleArray(pool.size) { params.depth.depth(pool[it], now) }
+        val crowding = depths.sum() / pool.sumOf { it.slots }
         return DoubleArray(pool.size) { i ->
             val view = pool[i]
-            val secondsPerToken = view.stats.secondsPerToken.takeIf { it > 0.0 } ?: medianSecondsPerToken
-            val work = view.work(request, depths[i], crowding)
-            val wait = view.queueAhead(depths[i], request) * secondsPerToken
-            val roundTrip = if (view.dataCentre == local) 0.0 else params.remoteRoundTrip.toDouble(DurationUnit.SECONDS)
-            (work * secondsPerToken + wait + roundTrip) *
-                (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
+            val secondsPerToken = view.stats.secondsPerToken.takeIf { it > 0.0 } ?: assumed
+            val busy = 1 + params.loadPenalty * depths[i] / view.slots + params.batchSlowdown * depths[i]
+            val work = view.work(request, depths[i], crowding) * busy
+            val time = (work + view.queueAhead(depths[i], request)) * secondsPerToken
+            (time + roundTrip(view)) * factor(view) * (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
         }
     }
 
+    private val TargetView.isLocal: Boolean get() = local == null || dataCentre == local
+
+    private fun roundTrip(view: TargetView): Double =
+        if (view.isLocal) 0.0 else params.remoteRoundTrip.toDouble(DurationUnit.SECONDS)
+
+    private fun factor(view: TargetView): Double {
+        val connection = if (view.connected) 1.0 else params.newConnectionFactor
+        val remote = if (view.isLocal) 1.0 else params.remoteFactor
+        val jitter = if (params.jitter > 0.0) 1 + params.jitter * random.nextDouble() else 1.0
+        return connection * remote * jitter
+    }
+
     private fun TargetView.work(request: RequestProfile, depth: Double, meanCrowding: Double): Long {
-        val crowded = depth / concurrency.coerceAtLeast(1) > max(1.0, meanCrowding) * params.maxPrefixCrowding
+        val crowded = depth / slots > max(1.0, meanCrowding) * params.maxPrefixCrowding
         return if (id in request.cachedAt && !crowded) request.cachedWork else request.work
     }
 
     /** Work per slot that is queued ahead of the request on the target, in tokens. */
     private fun TargetView.queueAhead(depth: Double, request: RequestProfile): Double {
-        val slots = concurrency.coerceAtLeast(1)
-        val mean = if (stats.inFlight ==
-            0
-        ) {
-            request.work.toDouble()
-        } else {
-            stats.outstandingWork.toDouble() / stats.inFlight
-        }
+        val known = stats.inFlight > 0
+        val mean = if (known) stats.outstandingWork.toDouble() / stats.inFlight else request.work.toDouble()
         return max(0.0, depth + 1 - slots) / slots * mean
     }
 
+    private fun TargetView.load(now: Instant): Double = params.depth.depth(this, now) / slots
+
     private fun TargetView.isWarmingUp(): Boolean {
-        if (stats.completions >= WARM_UP_COMPLETIONS) return false
+        if (stats.completions >= params.warmUpCompletions) return false
         return stats.inFlight >= 1 shl stats.completions
     }
 
-    private fun medianSecondsPerToken(pool: List<TargetView>): Double {
-        val known = pool.mapNotNull { view -> view.stats.secondsPerToken.takeIf { it > 0.0 } }.sorted()
-        return if (known.isEmpty()) 1.0 else known[known.size / 2]
-    }
+    private fun assumedSecondsPerToken(candidates: List<TargetView>, pool: List<TargetView>): Double =
+        when (params.unknownSpeed) {
+            UnknownSpeed.ELIGIBLE_MEDIAN -> medianSecondsPerToken(pool)
+            UnknownSpeed.CANDIDATE_MEDIAN -> medianSecondsPerToken(candidates)
+            UnknownSpeed.CANDIDATE_FASTEST ->
+                candidates.minOfOrNull { it.stats.secondsPerToken.takeIf { known -> known > 0.0 } ?: Double.MAX_VALUE }
+                    ?.takeIf { it < Double.MAX_VALUE }
+                    ?: params.defaultSecondsPerToken
+        }
 
-    private companion object {
-        /** Number of completions after which the warm-up of a target ends. */
-        const val WARM_UP_COMPLETIONS = 6
+    private fun medianSecondsPerToken(views: List<TargetView>): Double {
+        val all = DoubleArray(views.size)
+        var known = 0
+        views.forEach { if (it.stats.secondsPerToken > 0.0) all[known++] = it.stats.secondsPerToken }
+        all.sort(0, known)
+        return if (known == 0) params.defaultSecondsPerToken else all[known / 2]
     }
 }
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/TargetSelector.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/TargetSelector.kt
@@ -22,7 +22,11 @@
     public val leaving: Boolean = false,
     /** True if the target was ejected as an outlier; it gets requests only while all others are ejected as well. */
     public val ejected: Boolean = false,
-)
+    /** True if this instance has an open connection to the target, or if connections do not matter. */
+    public val connected: Boolean = true,
+) {
+    internal val slots: Int get() = concurrency.coerceAtLeast(1)
+}
 
 /** Properties of a request that target selection uses. */
 public data class RequestProfile(
