Choose the engines of samples by core.routing

core.placement had a second choice of its own for engines, chooseEngine and fasterEngine over EngineLoad. They are gone: EngineSelector filters and describes, ExpectedCompletionSelector with ForSamples selects, RelocationPolicy.fasterTarget decides on moves. Where no engine has been observed and the numbers of slots differ, the least used in requests comes first, no longer the least used in part of its slots; all else decides as before.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/RelocationPolicy.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/RelocationPolicy.kt
@@ -53,6 +53,24 @@
             ?.first
     }
 
+    /**
+     * Returns the target that [selector] selects for [request] among those of [candidates] with a free slot and a known
+     * speed, if a run on [current] is expected to go on [minSpeedup] times as fast there; null otherwise.
+     */
+    public fun fasterTarget(
+        current: TargetView,
+        candidates: List<TargetView>,
+        selector: TargetSelector,
+        request: RequestProfile,
+        now: Instant,
+    ): TargetId? {
+        val known = candidates.filter { it.id != current.id && it.stats.secondsPerToken > 0.0 }
+        val full = known.filter { it.stats.inFlight >= it.concurrency }.mapTo(HashSet()) { it.id }
+        val best = selector.select(known, request, full, now) ?: return null
+        val other = known.first { it.id == best }.stats.secondsPerToken
+        return best.takeIf { current.stats.secondsPerToken > other * minSpeedup }
+    }
+
     private fun <K> bestRelocation(request: StreamingRequest<K>, free: List<TargetView>): Pair<Relocation<K>, Double>? {
         val target = free.filter { it.id != request.target }.minByOrNull { it.stats.secondsPerToken } ?: return null
         val remaining = remainingTokens(request)
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/placement/ModelPlacementTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/placement/ModelPlacementTest.kt
@@ -11,7 +11,6 @@
 import io.kotest.property.arbitrary.list
 import io.kotest.property.arbitrary.map
 import io.kotest.property.checkAll
-import kotlin.time.Duration.Companion.milliseconds
 
 private val centres = listOf("rennes", "brest", "vannes").map(::DataCentre)
 
@@ -61,34 +60,4 @@
                 placeModels(models, listOf(engine(1, leaving = true)), ModelPlacement()).models shouldBe emptyMap()
             }
         }
-
-        describe("the choice of an engine in a fleet of different speeds") {
-            fun load(name: String, running: Int, pace: Int?, placed: Boolean = true) =
-                EngineLoad(TargetId(name), slots = 8, running = running, pace = pace?.milliseconds, placed = placed)
-
-            it("fills a fast engine before a slow one") {
-                chooseEngine(listOf(load("slow", 0, 60), load("fast", 7, 25)))?.id shouldBe TargetId("fast")
-            }
-            it("chooses the slow engine once the fast one is full") {
-                chooseEngine(listOf(load("slow", 0, 60), load("fast", 8, 25)))?.id shouldBe TargetId("slow")
-            }
-            it("balances load between engines of equal speed") {
-                chooseEngine(listOf(load("a", 3, 30), load("b", 1, 30)))?.id shouldBe TargetId("b")
-            }
-            it("does not use engines of other models while the model's own have free slots") {
-                chooseEngine(listOf(load("own", 7, 60), load("other", 0, 20, placed = false)))?.id shouldBe
-                    TargetId("own")
-            }
-            it("moves a run from a degraded engine to a much faster one with a free slot") {
-                val slow = load("slow", 4, 120)
-                fasterEngine(slow, listOf(slow, load("fast", 3, 30)))?.id shouldBe TargetId("fast")
-                fasterEngine(slow, listOf(slow, load("fast", 8, 30))) shouldBe null
-                fasterEngine(slow, listOf(slow, load("near", 0, 50))) shouldBe null
-                fasterEngine(slow, listOf(slow, load("unknown", 0, null))) shouldBe null
-                fasterEngine(slow, listOf(slow, load("other", 0, 30, placed = false))) shouldBe null
-            }
-            it("chooses none if all engines are full") {
-                chooseEngine(listOf(load("a", 8, 30))) shouldBe null
-            }
-        }
     })
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -2,9 +2,11 @@
 
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
-import dev.vanillarun.core.placement.EngineLoad
-import dev.vanillarun.core.placement.chooseEngine
-import dev.vanillarun.core.placement.fasterEngine
+import dev.vanillarun.core.routing.CompletionParameters
+import dev.vanillarun.core.routing.ExpectedCompletionSelector
+import dev.vanillarun.core.routing.RelocationPolicy
+import dev.vanillarun.core.routing.RequestProfile
+import dev.vanillarun.core.routing.TargetView
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.hosted.catalog.ReplicaSource
@@ -12,6 +14,8 @@
 import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
+import dev.vanillarun.hosted.target.view
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Result of [EngineSelector.choose]. */
@@ -41,6 +45,9 @@
     private val clock: MonotonicClock,
     private val gates: TargetGates = TargetGates(),
 ) {
+    private val selector = ExpectedCompletionSelector(local = null, Random.Default, CompletionParameters.ForSamples)
+    private val relocation = RelocationPolicy(minSpeedup = MIN_SPEEDUP_TO_MOVE)
+
     /**
      * Returns the engine for [task], or why there is none; [running] has the start times of the runs at each engine. If
      * the item is [overdue] while most slots are free, an engine may be chosen before the end of its backoff, since it
@@ -52,7 +59,7 @@
         val open = capable.filter { gates.refusal(it, task.gated) == null }
         val usable = open.filter(::isUsable)
         val chosen =
-            chooseEngine(usable.map { load(it, task, running) })?.let { load -> usable.first { it.id == load.id } }
+            select(usable, task, running)?.let { id -> usable.first { it.id == id } }
                 ?: engineToProbe(open, task, running).takeIf { overdue && isMostlyFree(open, running) }
         return when {
             chosen != null -> EngineChoice.Chosen(chosen)
@@ -69,8 +76,27 @@
         val engines = listed(task).filter {
             isCapable(it, task) && isUsable(it) && gates.refusal(it, task.gated) == null
         }
-        val loads = engines.map { load(it, task, running) }
-        return loads.find { it.id == engine }?.let { fasterEngine(it, loads) }?.id
+        val current = engines.find { it.id == engine } ?: return null
+        val placed = engines.filter { isPlaced(it, task) }.map { view(it, task, running) }
+        return relocation.fasterTarget(view(current, task, running), placed, selector, profile(task), clock.now())
+    }
+
+    /** Engines that the model is not placed on are used only while the placed ones are full. */
+    private fun select(engines: List<Replica>, task: SampleTask, running: Map<TargetId, List<Instant>>): TargetId? {
+        val views = engines.map { view(it, task, running) }
+        val (free, full) = views.partition { it.stats.inFlight < it.concurrency }
+        val placed = engines.filter { isPlaced(it, task) }.mapTo(HashSet()) { it.id }
+        val others = if (free.any { it.id in placed }) views.filter { it.id !in placed } else emptyList()
+        val excluded = (full + others).mapTo(HashSet()) { it.id }
+        return selector.select(views, profile(task), excluded, clock.now())
+    }
+
+    private fun profile(task: SampleTask): RequestProfile =
+        RequestProfile(outputTokens = task.item.expectedTokens ?: task.item.tokens)
+
+    private fun isPlaced(engine: Replica, task: SampleTask): Boolean {
+        val placed = placement.placement.value.enginesOf(task.job.model)
+        return placed.isEmpty() || engine.id in placed
     }
 
     private fun listed(task: SampleTask): List<Replica> = task.route.services.flatMap { replicas.of(it.service) }
@@ -94,21 +120,14 @@
         val now = clock.now()
         return engines.filterNot(departures::isDeparting)
             .filter { engine -> tracker.of(engine).failedAt?.let { now - it >= PROBE_INTERVAL } ?: false }
-            .filter { engine -> load(engine, task, running).let { it.running < it.slots } }
+            .filter { engine -> view(engine, task, running).let { it.stats.inFlight < it.concurrency } }
             .minByOrNull { engine -> tracker.of(engine).failedAt ?: now }
     }
 
-    private fun load(engine: Replica, task: SampleTask, running: Map<TargetId, List<Instant>>): EngineLoad {
-        val placed = placement.placement.value.enginesOf(task.job.model)
-        val observations = tracker.of(engine)
+    private fun view(engine: Replica, task: SampleTask, running: Map<TargetId, List<Instant>>): TargetView {
         val runs = running[engine.id].orEmpty()
-        return EngineLoad(
-            id = engine.id,
-            slots = if (observations.failures > 0) slotsAfterFailure(engine, runs) else engine.slots,
-            running = runs.size,
-            pace = observations.meanLatency,
-            placed = placed.isEmpty() || engine.id in placed,
-        )
+        val slots = if (tracker.of(engine).failures > 0) slotsAfterFailure(engine, runs) else engine.slots
+        return tracker.view(engine, inFlight = runs.size, work = profile(task).work, slots = slots)
     }
 
     /** Leaves one slot free unless a run began after the failure; runs from before it may go on for long. */
@@ -118,6 +137,13 @@
     }
 
     private companion object {
+        /**
+         * Speed ratio above which a run is moved to another engine. Healthy engines of one fleet differ by up to 2.7,
+         * and a move costs a connection and a second prefill of the prompt; an engine that degrades slows by a factor
+         * of 3 to 4.
+         */
+        const val MIN_SPEEDUP_TO_MOVE = 3.0
+
         /** Minimum time from a failure of an engine until it is tried before the end of its backoff. */
         val PROBE_INTERVAL = 500.milliseconds
     }
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
@@ -0,0 +1,107 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.log.Offset
+import dev.vanillarun.core.placement.ModelPlacement
+import dev.vanillarun.core.store.StoredTopicRecord
+import dev.vanillarun.core.timeline.NoOpEventRecorder
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.fake.FakeCodec
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.fake.ManualClock
+import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetTracker
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val SLOTS = 4
+private const val ITEMS = 10
+
+/** Two engines without weights, `own` placed on no model or on that of the task, and `other` on another. */
+private class Engines {
+    val clock = ManualClock()
+    val tracker = TargetTracker(clock)
+    private val replicas = ReplicaSource(FakeTopicLog(), FakeCodec, clock, NoOpEventRecorder).also {
+        it.accept(listOf("own", "other").mapIndexed { i, id -> stored(i, id, "s ready".encodeToByteArray()) })
+    }
+    private val board = PlacementBoard(FakeTopicLog(), tracker, clock, NoOpEventRecorder)
+    private val departures = DepartureBoard(replicas, 2.seconds, clock, { 0 }, NoOpEventRecorder)
+    val selector = EngineSelector(replicas, tracker, board, departures, clock)
+
+    fun place(vararg models: Pair<String, String>) {
+        val placement = ModelPlacement(models.associate { (engine, model) -> TargetId(engine) to model })
+        val record = PlacementBoard.record(placement)
+        board.accept(listOf(stored(0, record.key, record.value)))
+    }
+
+    fun observe(engine: String, pace: Duration) =
+        tracker.latencyObserved(replicas.replicas.value.getValue(TargetId(engine)), pace)
+
+    fun choose(running: Map<String, Int> = emptyMap()): String? {
+        val runs = running.entries.associate { (id, count) -> TargetId(id) to List(count) { clock.now() } }
+        return (selector.choose(task(), runs) as? EngineChoice.Chosen)?.engine?.id?.value
+    }
+
+    private fun stored(offset: Int, key: String, value: ByteArray?) =
+        StoredTopicRecord(Offset(offset.toLong()), key, value)
+}
+
+private fun task(): SampleTask {
+    val route = CatalogRoute(
+        name = "r",
+        host = "h",
+        pathPrefix = "/",
+        kind = RequestKind.ROLLOUT,
+        services = listOf(ServiceShare("s")),
+        timeout = Duration.INFINITE,
+        objective = Duration.INFINITE,
+    )
+    val items = RunnerFixture.items("i", ITEMS)
+    return SampleTask(Job(JobId("j"), null, "h", "/", submittedAt = 0, items = items), items.first(), route)
+}
+
+class EngineSelectorTest :
+    DescribeSpec({
+        describe("engines on some of which a model is placed") {
+            fun engines() = Engines().apply {
+                place("own" to "", "other" to "m")
+                observe("own", 60.milliseconds)
+                observe("other", 20.milliseconds)
+            }
+            it("are those of the model while one of them has a free slot, however slow") {
+                engines().choose(mapOf("own" to SLOTS - 1)) shouldBe "own"
+            }
+            it("are those of other models once all of its own are full") {
+                engines().choose(mapOf("own" to SLOTS)) shouldBe "other"
+            }
+            it("do not take over a run that another engine would continue much faster") {
+                val both = Engines().apply {
+                    observe("own", 120.milliseconds)
+                    observe("other", 30.milliseconds)
+                }
+                both.selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe TargetId("other")
+                both.place("own" to "", "other" to "m")
+                both.selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe null
+            }
+        }
+        describe("engines without a placement") {
+            it("are all used, the fastest first") {
+                val all = Engines().apply {
+                    observe("own", 60.milliseconds)
+                    observe("other", 20.milliseconds)
+                }
+                all.choose() shouldBe "other"
+                all.choose(mapOf("other" to SLOTS)) shouldBe "own"
+                all.choose(mapOf("other" to SLOTS, "own" to SLOTS)) shouldBe null
+            }
+        }
+    })
