--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/GroupState.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/GroupState.kt
@@ -30,8 +30,8 @@
 )
 
 /**
- * Returns the state of each of the [groups] of a job of which [desired] are needed, 0 for all, at [now] and with results
- * due at [dueAt], both in Unix milliseconds. A surplus group takes the place of one that is late.
+ * Returns the state of each of the [groups] of a job of which [desired] are needed, 0 for all, at [now] and with
+ * results due at [dueAt], both in Unix milliseconds. A surplus group takes the place of one that is late.
  */
 public fun groupStates(groups: List<GroupProgress>, desired: Int, now: Long, dueAt: Long): Map<String, GroupState> {
     var needed = if (desired > 0) desired else groups.size
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/WaitingItem.kt
@@ -37,7 +37,7 @@
 /**
  * Returns [waiting] in the order of assignment, given that [assigned] items were assigned before.
  *
- * Follows [ItemOrder], but one of [AGED_SHARE] places goes to the item that is due first of all whatever the state of its
+ * Follows [ItemOrder], but one of [AGED_SHARE] places goes to the item that is due first whatever the state of its
  * group, so that late and surplus groups do not starve.
  */
 public fun assignmentOrder(waiting: List<WaitingItem>, assigned: Long): List<WaitingItem> {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -60,11 +60,12 @@
         runTime = runTime.observed(item, elapsed)
     }
 
-    /** Group of the item of [task] whose job has [view], with results due at [dueAt]. */
-    fun rewardGroup(task: SampleTask, view: JobView?, dueAt: Instant): RewardGroup =
+    /** Group of the item of [task], whose job has [view]. */
+    fun rewardGroup(task: SampleTask, view: JobView?): RewardGroup =
         rewardGroups.getOrPut(task.job.id) { HashMap() }.getOrPut(task.item.group) {
+            val left = (task.job.dueAt(task.route) - wallClock()).milliseconds
             val members = task.job.items.filter { it.group == task.item.group }
-            RewardGroup(dueAt, members.count { view?.positions?.containsKey(it.id) != true })
+            RewardGroup(clock.now() + left, members.count { view?.positions?.containsKey(it.id) != true })
         }
 
     /** Records that the store confirmed [recorded]. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -9,7 +9,6 @@
 import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
-import dev.vanillarun.core.job.RewardCall
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.core.job.assignmentOrder
@@ -274,7 +273,8 @@
     /** Scores the complete text of [task] if it has a reward call and records the result, or records it as aborted. */
     private suspend fun conclude(task: SampleTask, conclusion: Conclusion, transcript: Transcript) {
         val reward = task.item.reward
-        val scored = if (conclusion == Conclusion.SCORE && reward != null) score(task, reward) else null
+        val group = items.rewardGroup(task, inputs.board.table.value.jobs[task.job.id])
+        val scored = if (conclusion == Conclusion.SCORE && reward != null) rewards.score(reward, group) else null
         when {
             conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted ->
                 record(task, ItemState.ABORTED, transcript)
@@ -283,12 +283,6 @@
         }
     }
 
-    private suspend fun score(task: SampleTask, reward: RewardCall): RewardResult {
-        val left = (task.job.dueAt(task.route) - wallClock()).milliseconds
-        val view = inputs.board.table.value.jobs[task.job.id]
-        return rewards.score(reward, items.rewardGroup(task, view, clock.now() + left))
-    }
-
     private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
         val completed = state == ItemState.COMPLETED
         val result = ItemResult(
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -46,7 +46,7 @@
     private fun assumedLatency(candidates: List<Replica>): Duration =
         candidates.mapNotNull { tracker.of(it).meanLatency }.minOrNull() ?: DEFAULT_LATENCY
 
-    /** True if every target that may get [request] backs off after rejections for lack of capacity, not after failures. */
+    /** True if every target that may get [request] backs off for lack of capacity, not after failures. */
     fun isFull(request: LiveRequest): Boolean {
         val candidates = open(request)
         return candidates.isNotEmpty() && candidates.all { !tracker.usable(it) && tracker.of(it).failures == 0 }
