Answer malformed heads of callers, and bound requests that stand still

Cause: since a copy of each request is passed on without the decoder's result, so that a head that the decoder had given up became a request whose body never ends: no answer, and the connection stayed open. The standalone daemon did not ask whether a message was whole. A connection whose request had begun was never idle.

Change: core.request.headFault judges lengths and codings; WholeRequests takes the decoder's result and answers each fault in its turn with 400 and the place, then the connection ends. StalledRequests ends heads after 15 s and bodies after 15 to 30 s of silence. Counted by kind, one event for each message.

Result: MalformedRequestsTest with the new cases on: 1 of 9 red ("the connection does not end").

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/DataPath.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/DataPath.kt
@@ -39,6 +39,7 @@
 import dev.vanillarun.daemon.forward.RetryGate
 import dev.vanillarun.daemon.forward.UsageSink
 import dev.vanillarun.daemon.metrics.DaemonMetrics
+import dev.vanillarun.daemon.metrics.registerFaults
 import dev.vanillarun.daemon.rollout.RolloutEndpoint
 import dev.vanillarun.daemon.rollout.RolloutService
 import dev.vanillarun.daemon.rollout.SampleGenerator
@@ -82,7 +83,7 @@
     val pool = TargetPool(clock)
     val limits = CustomerLimits(clock)
     val calls = ActiveCalls()
-    val connections = Connections(settings.limits.maxConnections)
+    val connections = Connections(settings.limits.maxConnections, events = events)
     private val prefixes = PrefixHolders()
     val queues = RouteQueues(pool, prefixes, clock)
     val crashes = CrashMonitor(scope, ConnectProbe(selector), clock, observers.crashes)
@@ -152,6 +153,7 @@
         }
         metrics.gauge("vanillarun_buffered_body_bytes", "Bytes of requests held.") { bufferedBodies.bytes.toDouble() }
         metrics.gauge("vanillarun_connections_open", "Open connections of callers.") { connections.count.toDouble() }
+        metrics.registerFaults(connections)
     }
 
     /** Starts the background loops: load polling, silence detection and queue checks. */
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/BodyReader.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/BodyReader.kt
@@ -26,10 +26,13 @@
         val read = withTimeoutOrNull(limits.requestReadTimeoutMs) { call.receiveChannel().readInto(body, reservation) }
         return when {
             read == null -> rejected(ErrorType.REQUEST_TIMEOUT, "the request body was not received in time")
+
             !read -> bufferFull()
+
             body.size > limits.maxBodyBytes -> tooLarge()
-            body.size < contentLength -> rejected(ErrorType.INVALID_REQUEST, "the body is shorter than announced")
-            else -> ValidationResult.Accepted(body.readByteArray())
+
+            else -> call.messageFault()?.let { rejected(ErrorType.INVALID_REQUEST, it.message) }
+                ?: ValidationResult.Accepted(body.readByteArray())
         }
     }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/CallerServer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/CallerServer.kt
@@ -42,6 +42,8 @@
     private suspend fun handle(call: ApplicationCall) {
         val id = ids.next()
         call.response.header(REQUEST_ID_HEADER, id.value)
+        val fault = call.headFault()
+        if (fault != null) return call.respondError(id, ErrorResponse(ErrorType.INVALID_REQUEST, fault.message))
         val state = serving.value
         if (state != ServingState.SERVING) call.response.header(HttpHeaders.Connection, "close")
         val active = config.value
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/caller/Connections.kt
@@ -1,5 +1,8 @@
 package dev.vanillarun.daemon.caller
 
+import dev.vanillarun.core.request.RequestFault
+import dev.vanillarun.core.timeline.EventLinks
+import dev.vanillarun.core.timeline.EventRecorder
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.netty.NettyApplicationCall
 import io.netty.channel.Channel
@@ -44,10 +47,13 @@
     private val maxConnections: Int,
     private val idleSeconds: Long = 120,
     private val idHeader: String? = null,
+    /** Receives an event for each message that is no sound request; null records none. */
+    private val events: EventRecorder? = null,
 ) {
     private val open = ConcurrentHashMap.newKeySet<Tracker>()
     internal val listeners: MutableSet<Channel> = ConcurrentHashMap.newKeySet()
     private val arrivalCount = AtomicLong()
+    private val faults = ConcurrentHashMap<String, Long>()
 
     /** True if each response is the last of its connection: it says so, and the connection is closed after it. */
     @Volatile
@@ -62,6 +68,9 @@
     /** Total number of requests received since the start. */
     public val arrivals: Long get() = arrivalCount.get()
 
+    /** Number of requests so far that were not one whole sound message, by [RequestFault.label]. */
+    public val faultCounts: Map<String, Long> get() = faults.toMap()
+
     /** Number of new connections whose first request may still be in transit. */
     public val unused: Int get() = open.count { it.awaitsFirstRequest }
 
@@ -69,11 +78,18 @@
     public fun unanswered(limit: Int): List<UnansweredRequest> =
         open.asSequence().mapNotNull { it.unanswered() }.take(limit).toList()
 
-    /** Adds the idle timeout, tracking and the check for whole requests to the pipeline of a new connection. */
+    /** Adds the idle timeout, tracking, and the checks of requests to the pipeline of a new connection. */
     public fun track(pipeline: ChannelPipeline) {
         pipeline.addFirst(IdleStateHandler(0, 0, idleSeconds, TimeUnit.SECONDS))
+        val requests = WholeRequests(::faultSeen)
         pipeline.addAfter(CODEC, "connections", Tracker())
-        pipeline.addAfter(CODEC, "whole-requests", WholeRequests())
+        pipeline.addAfter(CODEC, "whole-requests", requests)
+        pipeline.addBefore(CODEC, "stalled-requests", StalledRequests(requests))
+    }
+
+    private fun faultSeen(fault: RequestFault) {
+        faults.merge(fault.label, 1, Long::plus)
+        events?.record("request.malformed", EventLinks(), mapOf("kind" to fault.label, "fault" to fault.message))
     }
 
     /** Handler that registers a listening channel, so that [stopAccepting] can close it. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -24,6 +24,7 @@
 import dev.vanillarun.daemon.agreement.LogFollower
 import dev.vanillarun.daemon.caller.Connections
 import dev.vanillarun.daemon.metrics.DaemonMetrics
+import dev.vanillarun.daemon.metrics.registerFaults
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.ControlDuty
@@ -204,7 +205,7 @@
         clock = clock,
         events = events,
     )
-    private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader)
+    private val connections = Connections(MAX_CALLER_CONNECTIONS, idHeader = ports.callers.idHeader, events = events)
     private val callerDrain = CallerDrain(connections, admission, clock)
     private val drainReport = DrainReport(connections, callCounter, clock, events)
     private val servers = mutableListOf<HttpServer>()
@@ -212,6 +213,7 @@
     init {
         ports.client.onStrayAnswer(strays)
         metrics.registerTargets(departures, strays, gateway)
+        metrics.registerFaults(connections)
     }
 
     @Volatile
