Tell the copy of a failure from the answer to the next attempt

Cause: a request keeps its id over its attempts. "No connection carries an id twice" covers a copy on the connection of its answer; a copy on the connection of the next attempt, ahead of that attempt's answer, names the right request, and only its bytes tell it apart. It counted, and the own answer was dropped.

NettyTargetClient remembers failures (500 and above without 503) by address and id. Where one is known, the next failure is kept back; if it is the same, byte for byte, another answer that follows within 300 ms counts in its place (stray answer of kind "repeated"), else it counts itself. Other responses are neither kept back nor digested.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ExchangeHandler.kt
@@ -55,7 +55,8 @@
             val wasIdle = isIdle
             val belongs = message is HttpObject && exchange?.received(message) == true
             if (!belongs) {
-                if (!wasIdle) reportStray(context.channel(), StrayKind.MALFORMED, exchange?.failure?.reason.orEmpty())
+                val kind = if (wasIdle) StrayKind.EXCESS else StrayKind.MALFORMED
+                reportStray(context.channel(), kind, exchange?.failure?.reason.orEmpty())
                 context.channel().reset()
             }
         } finally {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -1,6 +1,9 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.AnswerIdentity
 import dev.vanillarun.core.answer.StatusLineSearch
+import dev.vanillarun.core.answer.leadsToRepetition
+import dev.vanillarun.core.answer.mayBeCopy
 import dev.vanillarun.core.answer.repeatedField
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
@@ -14,6 +17,9 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
 import java.io.IOException
+import java.security.MessageDigest
+import java.util.HexFormat
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -28,16 +34,41 @@
     class Broken(val reason: String, val cause: BreakCause) : HeadReadResult
 }
 
-/** One HTTP request and its response on a connection. */
-internal class NettyExchange(private val channel: Channel, private val singleFields: Set<String> = emptySet()) :
-    ResponseBody {
+/**
+ * One HTTP request and its response on a connection. A response that is the same as one of [earlier] is kept back for
+ * [copyWait], and is the response only if no other follows it.
+ */
+internal class NettyExchange(
+    private val channel: Channel,
+    private val singleFields: Set<String> = emptySet(),
+    private val earlier: Set<AnswerIdentity> = emptySet(),
+    private val copyWait: Duration = Duration.ZERO,
+) : ResponseBody {
     private val head = CompletableDeferred<HeadReadResult>()
     private val parts = Queue<ByteArray>(Queue.UNLIMITED)
     private val buffered = AtomicInteger()
     private var written: ChannelFuture? = null
-    private val statusLines = StatusLineSearch()
+    private var statusLines = StatusLineSearch()
     private var interim = false
+    private var status = 0
     private var endsWithConnection = false
+    private var held: HeldAnswer? = null
+    private var headText = ""
+    private var digest: MessageDigest? = null
+
+    /** Status and bytes of a failure of the target; null until it is complete, and for other responses. */
+    @Volatile
+    var identity: AnswerIdentity? = null
+        private set
+
+    /** True if a whole response is kept back, as another may count in its place. */
+    val holdsWhole: Boolean get() = held?.isWhole == true
+
+    /** True if the response of which [messages] are the last may be kept back until another follows. */
+    fun mayHold(messages: List<Any>): Boolean {
+        val decoded = messages.firstNotNullOfOrNull { it as? HttpResponse }?.status()?.code() ?: status
+        return !finished && earlier.isNotEmpty() && leadsToRepetition(decoded)
+    }
 
     @Volatile
     private var finished = false
@@ -149,13 +180,39 @@
     private fun onHead(response: HttpResponse) {
         interim = response.status().code() < FIRST_FINAL
         if (interim) return
+        status = response.status().code()
+        digest = if (leadsToRepetition(status)) MessageDigest.getInstance("SHA-256") else null
+        digest?.update(headText.toByteArray(Charsets.ISO_8859_1))
         keepAlive = HttpUtil.isKeepAlive(response)
         endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
         val headers = HeadersBuilder()
         response.headers().forEach { headers.append(it.key, it.value) }
         idleTimeout = response.headers().get("Keep-Alive")?.let { TimeoutParameter.find(it) }
             ?.groupValues?.get(1)?.toIntOrNull()?.seconds
-        head.complete(HeadReadResult.Received(response.status().code(), headers.build()))
+        val received = HeadReadResult.Received(status, headers.build())
+        if (earlier.isNotEmpty() && leadsToRepetition(status)) held = HeldAnswer(received)
+        if (held == null) head.complete(received)
+    }
+
+    /** Takes the bytes of the head, [text], before the head itself; forgets a response that was kept back. */
+    fun onHeadBytes(text: String) {
+        held = null
+        excess = null
+        statusLines = StatusLineSearch()
+        headText = text
+    }
+
+    private fun pass(answer: HeldAnswer) {
+        held = null
+        head.complete(answer.head)
+        answer.parts.forEach(::addPart)
+        if (answer.isWhole) finish()
+    }
+
+    /** Keeps [answer] back until another follows or [copyWait] has passed. */
+    private fun await(answer: HeldAnswer) {
+        val end = { if (held === answer) pass(answer) }
+        channel.eventLoop().schedule(end, copyWait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun onContent(message: HttpContent) {
@@ -164,6 +221,13 @@
         val bytes = ByteArray(buffer.readableBytes())
         buffer.readBytes(bytes)
         statusLines.feed(bytes.toString(Charsets.ISO_8859_1))
+        digest?.update(bytes)
+        val answer = held ?: return addPart(bytes)
+        answer.parts += bytes
+        if (answer.size > MAX_HELD_BYTES) pass(answer)
+    }
+
+    private fun addPart(bytes: ByteArray) {
         parts.trySend(bytes)
         if (buffered.addAndGet(bytes.size) > READ_PAUSE_BYTES) channel.config().isAutoRead = false
     }
@@ -177,6 +241,13 @@
 
     private fun onEnd() {
         if (holdsAnother) return fail("the body may hold another response", BreakCause.INVALID_ANSWER)
+        identity = digest?.let { AnswerIdentity(status, HexFormat.of().formatHex(it.digest())) }
+        val answer = held ?: return finish()
+        answer.isWhole = true
+        if (identity?.mayBeCopy(earlier) == true) await(answer) else pass(answer)
+    }
+
+    private fun finish() {
         finished = true
         parts.close()
     }
@@ -188,6 +259,8 @@
 
     /** Fails the exchange: a reader of the head or the body sees [reason] and [cause], unless it has failed before. */
     fun fail(reason: String, cause: BreakCause) {
+        val answer = held
+        if (answer?.isWhole == true && cause == BreakCause.CONNECTION_ENDED) return pass(answer)
         val broken = failure ?: HeadReadResult.Broken(reason, cause).also { failure = it }
         head.complete(broken)
         parts.close(IOException(reason))
@@ -197,6 +270,9 @@
         const val FIRST_FINAL = 200
         val TimeoutParameter = Regex("timeout=(\\d+)")
 
+        /** Largest body that is kept back, in bytes; failures say little. */
+        const val MAX_HELD_BYTES = 64 * 1024
+
         /** Buffered bytes above which the channel stops reading, and below which it reads again. */
         const val READ_PAUSE_BYTES = 256 * 1024
         const val READ_RESUME_BYTES = 64 * 1024
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit
 import javax.net.ssl.SSLContext
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -39,9 +40,12 @@
     private val tls: () -> SSLContext = SSLContext::getDefault,
     /** Names, in lower case, of fields of the targets' protocol that may stand once in a response. */
     private val singleFields: Set<String> = emptySet(),
+    /** Time for another answer after one that may be a copy of an earlier one to the same request. */
+    private val copyWait: Duration = COPY_WAIT,
 ) : TargetClient {
     private val group = NioEventLoopGroup(threads)
     private val pool = ConnectionPool()
+    private val failures = EarlierFailures()
 
     @Volatile
     private var strays = StrayAnswerListener {}
@@ -76,13 +80,14 @@
             is ConnectResult.Open -> connected.channel
             is ConnectResult.Failed -> return ExchangeResult.NotSent(connected.reason)
         }
-        val exchange = NettyExchange(channel, singleFields)
+        val exchange = NettyExchange(channel, singleFields, failures.of(address, request.id), copyWait)
         var reusable = false
         try {
             val result = send(exchange, request, message, handle)
             reusable = result is ExchangeResult.Answered && exchange.isReusable && !request.freshConnection
             return result
         } finally {
+            exchange.identity?.let { failures.add(address, request.id, it) }
             if (reusable) pool.put(address, channel, exchange.idleTimeout, generation) else channel.reset()
         }
     }
@@ -177,6 +182,8 @@
     }
 
     private companion object {
+        /** More than plain targets take for an answer, less than the deadline of any request that is repeated. */
+        val COPY_WAIT = 300.milliseconds
         val ValidPorts = 1..65_535
         val Limits: HttpDecoderConfig = HttpDecoderConfig()
             .setMaxInitialLineLength(8 * 1024)
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -33,17 +33,19 @@
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         val start = buffer.readerIndex()
         super.decode(context, buffer, out)
-        if (readsHead) checkHead(buffer.toString(start, buffer.readerIndex() - start, Charsets.ISO_8859_1), out)
+        val read = buffer.readerIndex() - start
+        if (readsHead) checkHead(context, buffer.toString(start, read, Charsets.ISO_8859_1), out)
         if (out.lastOrNull() is LastHttpContent) readsHead = true
         if (!buffer.isReadable || !out.endsResponse()) return
-        exchanges.reportStray(context.channel(), StrayKind.EXCESS, "${buffer.readableBytes()} bytes")
         val shown = minOf(buffer.readableBytes(), MAX_SHOWN_BYTES)
         exchanges.current?.onExcess(buffer.toString(buffer.readerIndex(), shown, Charsets.ISO_8859_1))
+        if (exchanges.current?.mayHold(out) == true) return
+        exchanges.reportStray(context.channel(), StrayKind.EXCESS, "${buffer.readableBytes()} bytes")
         buffer.skipBytes(buffer.readableBytes())
     }
 
     /** Adds [part] to the head, and checks it once the decoder has seen its end. */
-    private fun checkHead(part: String, out: List<Any>) {
+    private fun checkHead(context: ChannelHandlerContext, part: String, out: List<Any>) {
         head.append(part)
         val response = out.firstNotNullOfOrNull { it as? HttpResponse } ?: return
         val fault = statusLineFault(head.toString())
@@ -51,6 +53,10 @@
             // Not an IOException, which would tell of the end of the connection.
             response.decoderResult = DecoderResult.failure(IllegalArgumentException("$fault"))
         }
+        exchanges.current?.takeIf { it.isOpen }?.let { exchange ->
+            if (exchange.holdsWhole) exchanges.reportStray(context.channel(), StrayKind.REPEATED, "a copy of an answer")
+            exchange.onHeadBytes(head.toString())
+        }
         head.clear()
         readsHead = false
     }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/StrayAnswer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/StrayAnswer.kt
@@ -28,6 +28,9 @@
     /** They are an answer that names another request, or none. */
     OTHER_REQUEST,
 
+    /** They are the same answer as one to an earlier attempt of the request, and another followed. */
+    REPEATED,
+
     ;
 
     /** Name in events and metrics. */
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.seconds
 
@@ -39,7 +40,9 @@
                     connections = { server.connections.get() }
                     test { id ->
                         client.exchange(TargetRequest("GET", "${server.url}/", Headers.Empty, id = id)) {
-                            it.body.next() shouldBe BodyPart.End(clean = true)
+                            var part = it.body.next()
+                            while (part is BodyPart.Bytes) part = it.body.next()
+                            part shouldBe BodyPart.End(clean = true)
                             it.status
                         }
                     }
@@ -82,6 +85,44 @@
                 connections() shouldBe 2
             }
         }
+        // Items were given up: the copy came on the connection of the next attempt, before that attempt's own answer.
+        describe("the failure that ended an attempt, sent again to the next attempt of the request") {
+            val failure = "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"
+            val other = "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nNo"
+            suspend fun status(exchange: suspend (String) -> ExchangeResult<Int>) =
+                (exchange("one") as? ExchangeResult.Answered)?.value
+
+            it("is not the answer to it if its own answer follows") {
+                val last = AtomicInteger()
+                with(listOf(failure, failure + OK, OK), onRequest = { last.incrementAndGet() }) { exchange ->
+                    status(exchange) shouldBe 500
+                    status(exchange) shouldBe 200
+                    strays.map { it.kind } shouldBe listOf(StrayKind.REPEATED)
+                    last.get() shouldBe 2
+                }
+            }
+            it("is not the answer to it if its own answer follows in a later read") {
+                val attempts = AtomicInteger()
+                val copy: (Socket) -> Unit = { if (attempts.incrementAndGet() == 2) it.send(failure) }
+                with(listOf(failure, OK), onRequest = copy) { exchange ->
+                    status(exchange) shouldBe 500
+                    status(exchange) shouldBe 200
+                }
+            }
+            it("is the answer to it if nothing follows") {
+                with(listOf(failure, failure)) { exchange ->
+                    status(exchange) shouldBe 500
+                    status(exchange) shouldBe 500
+                    strays.shouldBeEmpty()
+                }
+            }
+            it("is told from another failure, which is the answer whatever follows") {
+                with(listOf(failure, other + OK)) { exchange ->
+                    status(exchange) shouldBe 500
+                    status(exchange) shouldBe 500
+                }
+            }
+        }
         it("an interim response is none, and the final one that follows it is the answer") {
             with(listOf("HTTP/1.1 100 Continue\r\n\r\n$OK", OK)) { exchange ->
                 exchange("first").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
