Settings: regions, cold allowance and the bounds of evacuations

Change: keys in HostedSettings with checks that name key and mend; the template leaves out what a deployment lacks; the TOML reader takes tables with keys that the file chooses.

--- a/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/toml/SchemaReader.kt
+++ b/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/toml/SchemaReader.kt
@@ -31,6 +31,7 @@
         return when (type.kind) {
             StructureKind.CLASS, StructureKind.OBJECT -> readClass(type, tree, key)
             StructureKind.LIST -> readList(type, tree, key)
+            StructureKind.MAP -> readMap(type, tree, key)
             else -> readLeaf(type, tree, key)
         }
     }
@@ -66,6 +67,13 @@
         return JsonArray(tree.items.mapIndexed { i, item -> read(element, item, "$key[$i]") })
     }
 
+    /** A table with keys that the file chooses. */
+    private fun readMap(type: SerialDescriptor, tree: TomlTree, key: String): JsonElement {
+        if (tree !is TomlTree.Table) return mismatch(type, key, "has to be a table", tree)
+        val element = type.getElementDescriptor(1)
+        return JsonObject(tree.entries.mapValues { (name, child) -> read(element, child, key.child(name)) })
+    }
+
     private fun readLeaf(type: SerialDescriptor, tree: TomlTree, key: String): JsonElement {
         val value = (tree as? TomlTree.Leaf)?.value
         if (!matchesType(type, value)) return mismatch(type, key, "has to be ${describe(type)}", tree)
@@ -133,6 +141,8 @@
 
     StructureKind.LIST -> JsonArray(emptyList())
 
+    StructureKind.MAP -> JsonObject(emptyMap())
+
     StructureKind.CLASS -> JsonObject(
         (0 until type.elementsCount).filterNot(type::isElementOptional)
             .associate { type.getElementName(it) to placeholder(type.getElementDescriptor(it)) },
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/HostedSettingsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/HostedSettingsTest.kt
@@ -1,6 +1,8 @@
 package dev.vanillarun.hosted
 
 import dev.vanillarun.adapters.toml.ReadOutcome
+import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.core.zone.Region
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
@@ -44,4 +46,24 @@
                 .shouldBeInstanceOf<ReadOutcome.Rejected>().problems
             problems.any { it.key == "hosting.store" } shouldBe true
         }
+        it("give the region of each data centre, and of the own one, for an operator with allowed regions") {
+            val text = validSettings.replace("[hosting]", "region = \"north\"\n[hosting]") +
+                "\ncold_over = 1.5\ncold_slack = 5\n[regions]\n\"b-1\" = \"south\"\n"
+            val read = HostedSettings.read("s.toml", text)
+                .shouldBeInstanceOf<ReadOutcome.Read<HostedSettings>>().value
+            read.regionOf shouldBe
+                mapOf(DataCentre("torino") to Region("north"), DataCentre("b-1") to Region("south"))
+            read.hosting.coldSlack shouldBe 5.0
+        }
+        it("report a contradictory region and bounds that no instance can keep") {
+            val text = validSettings.replace("[hosting]", "region = \"north\"\n[hosting]") +
+                "\ncold_over = 0.5\ncold_slack = -1\nevacuate_ms = 0\n[regions]\ntorino = \"south\"\n"
+            HostedSettings.read("s.toml", text).shouldBeInstanceOf<ReadOutcome.Rejected>().problems.map { it.key }
+                .shouldContainExactlyInAnyOrder(
+                    "region",
+                    "hosting.cold_over",
+                    "hosting.cold_slack",
+                    "hosting.evacuate_ms",
+                )
+        }
     })
