Withhold requests from evacuated data centres and outside allowed regions

Change: two target gates. Runs of items move out of an evacuated data centre as far as there is room elsewhere; sizing, placement and load orders leave it out. A job with allowed regions is run by an instance in one of them, by a group of slots for each region that is joined only while the catalog limits regions. Measured: EvacuationsTest, EvacuationGateTest, EvacuatedRunsTest, RegionGateTest, JobOwnershipTest, SlotMembershipTest, ItemPlacementTest, HostedSettingsTest and TomlReaderTest pass.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Catalog.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/catalog/Catalog.kt
@@ -19,11 +19,17 @@
     public val keys: Map<String, CatalogCustomer> = emptyMap(),
     /** True if requests to routes that are not open need a known key; false if the operator has no customers. */
     public val keyed: Boolean = false,
+    /** All customers by id, those without a key included. */
+    public val customers: Map<CustomerId, CatalogCustomer> = keys.values.associateBy { it.id },
 ) {
     private val byHost: Map<String, List<CatalogRoute>> =
         routes.groupBy { it.host.lowercase() }
             .mapValues { (_, sameHost) -> sameHost.sortedByDescending { it.pathPrefix.length } }
 
+    /** True if the requests of any route or customer are limited to some regions. */
+    public val limitsRegions: Boolean =
+        routes.any { it.regions.isNotEmpty() } || customers.values.any { it.regions.isNotEmpty() }
+
     /** Route of [host], in any letter case, with the longest matching prefix of [path]; null if none matches. */
     public fun route(host: String, path: String): CatalogRoute? =
         byHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/admin/AdminServer.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/admin/AdminServer.kt
@@ -63,6 +63,8 @@
     public val targets: List<TargetStatus> = emptyList(),
     /** Duties under whose lease this instance may act. */
     public val duties: List<HeldDuty> = emptyList(),
+    /** Data centres whose targets get no requests by order of the operator. */
+    public val evacuated: List<String> = emptyList(),
 )
 
 /** Serves health checks, metrics, status and drain requests to the platform and operators. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -34,6 +34,8 @@
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
+import dev.vanillarun.hosted.evacuation.EvacuationGate
+import dev.vanillarun.hosted.evacuation.registerEvacuations
 import dev.vanillarun.hosted.front.CallAdmission
 import dev.vanillarun.hosted.front.CallCounter
 import dev.vanillarun.hosted.front.CallerDrain
@@ -41,7 +43,9 @@
 import dev.vanillarun.hosted.front.FrontServer
 import dev.vanillarun.hosted.front.JobEndpoint
 import dev.vanillarun.hosted.job.JobBoard
+import dev.vanillarun.hosted.job.JobOwnership
 import dev.vanillarun.hosted.job.JobRunner
+import dev.vanillarun.hosted.job.RegionalSlots
 import dev.vanillarun.hosted.job.RewardCaller
 import dev.vanillarun.hosted.job.RunnerInputs
 import dev.vanillarun.hosted.job.SampleRunner
@@ -50,6 +54,7 @@
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.live.StreamForwarder
+import dev.vanillarun.hosted.region.RegionGate
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
@@ -93,7 +98,8 @@
     private val admission = CallAdmission()
     private val supervisor = ComponentSupervisor(scope, events, metrics)
 
-    private val catalog = CatalogSource(ports.store, ports.codec, clock, events)
+    private val regions = settings.regionOf.values.toSet()
+    private val catalog = CatalogSource(ports.store, ports.codec, clock, events, regions)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
     private val board: JobBoard = JobBoard(ports.store, clock, events) {
         if (runner.isBusy) JobBoard.RunnerPace else JobBoard.ReaderPace
@@ -110,7 +116,8 @@
     private val departures =
         DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
     private val strays = StrayAnswers(events)
-    private val gates = TargetGates()
+    private val evacuations = EvacuationGate(catalog.evacuations, replicas, clock)
+    private val gates = TargetGates(listOf(evacuations, RegionGate(settings.regionOf)))
     private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays, gates)
     private val chooser = ReplicaChooser(
         departures = departures,
@@ -126,6 +133,15 @@
     private val usageWindow = settings.hosting.usageWindowS.seconds
     private val usageMeter = UsageMeter(usageAppender, usageWindow, clock, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events)
+    private val regional = settings.regionOf[DataCentre(settings.dataCentre)]?.let { region ->
+        RegionalSlots(
+            region,
+            SlotMembership(ports.store, settings.instance, events, region) {
+                catalog.catalog.value?.limitsRegions ?: false
+            },
+        )
+    }
+    private val ownership = JobOwnership(catalog, slots, regional, regions)
 
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
     private val leaseAppender = LogAppender(leaseLog, clock)
@@ -154,7 +170,7 @@
     )
 
     private val runner = JobRunner(
-        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates),
+        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates, ownership),
         samples = SampleRunner(gateway, ports.targets, tracker, clock),
         rewards = RewardCaller(catalog, live, clock, events),
         appender = jobAppender,
@@ -163,7 +179,7 @@
         wallClock = wallClock,
         events = events,
     )
-    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures)
+    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures, gates)
     private val weightLoader = WeightLoader(
         duty = duty,
         calls = ports.calls,
@@ -211,6 +227,7 @@
 
     init {
         ports.client.onStrayAnswer(strays)
+        metrics.registerEvacuations(catalog.evacuations)
         metrics.registerTargets(departures, strays, gateway)
     }
 
@@ -270,6 +287,7 @@
         supervisor.start("targets.tracking") { replicas.replicas.collect(::retainTargets) }
         supervisor.start("usage.meter") { usageMeter.run() }
         supervisor.start("slots") { slots.run() }
+        regional?.let { supervisor.start("slots.regional") { it.slots.run() } }
         supervisor.start("lease.appender") { leaseAppender.run() }
         supervisor.start("lease.follower") { leases.run() }
         supervisor.start("duty") { duty.run() }
@@ -300,6 +318,7 @@
             )
         },
         duties = listOfNotNull(duty.heldTerm?.let { HeldDuty(duty.name, it.value) }),
+        evacuated = catalog.evacuations.value.dataCentres.map { it.name }.sorted(),
     )
 
     /**
@@ -316,6 +335,7 @@
         withTimeoutOrNull(grace) {
             launch { duty.stop(HANDOVER_TIMEOUT) }
             launch { slots.leave() }
+            regional?.let { launch { it.slots.leave() } }
             runner.stopAccepting()
             val serviceTime = grace - CLOSE_TIME
             callerDrain.finishCalls(minOf(BALANCER_NOTICE, serviceTime), serviceTime) { runner.inProgress > 0 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/catalog/CatalogCodec.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.WeightVersion
 import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.zone.DataCentre
 
 /** Weight version of a model that its trainer has published. */
 public data class PublishedWeights(
@@ -27,6 +28,12 @@
         public val weights: PublishedWeights,
     ) : OperatorRecord
 
+    /** The operator evacuates a data centre; the removal of the record ends that. */
+    public data class EvacuationRequested(
+        /** Data centre whose targets must get no requests. */
+        public val dataCentre: DataCentre,
+    ) : OperatorRecord
+
     /** The record cannot be decoded, or is of a kind that instances do not use. */
     public data class Ignored(
         /** Reason for the event log. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/FleetSizer.kt
@@ -28,7 +28,7 @@
  *
  * An interrupted item resumes on another engine after its last event, so reclaimable targets are ordered where they are
  * offered, and the number of firm ones is left as it is. Where only firm targets are offered, a growing fleet keeps the
- * present ones in their data centres.
+ * present ones in their data centres. An evacuated data centre keeps its targets, but none of them counts as present.
  */
 internal class FleetSizer(
     private val duty: ControlDuty,
@@ -69,13 +69,15 @@
     }
 
     private suspend fun resize(catalog: Catalog, service: CatalogService, spending: ServiceSpending) {
-        val engines = inputs.replicas.of(service.name)
-        if (engines.isEmpty()) return
-        val dataCentres = spending.prices.keys.ifEmpty { engines.mapTo(HashSet()) { it.dataCentre } }
+        val listed = inputs.replicas.of(service.name)
+        val evacuated = inputs.catalog.evacuations.value.dataCentres
+        val dataCentres = spending.prices.keys.ifEmpty { listed.mapTo(HashSet()) { it.dataCentre } } - evacuated
+        if (listed.isEmpty() || dataCentres.isEmpty()) return
+        val engines = listed.filter { it.dataCentre !in evacuated }
         val demand = TargetDemand(
             repeatable = pendingItems(catalog, service.name) / ITEMS_PER_SLOT,
             nonRepeatable = 0.0,
-            concurrency = service.slots ?: engines.maxOf { it.slots },
+            concurrency = service.slots ?: listed.maxOf { it.slots },
         )
         val bounds = spending.bounds.first * dataCentres.size..spending.bounds.last * dataCentres.size
         val sizing = (sizings[service.name] ?: TargetSizing(engines.size)).adjust(demand, bounds, Policy, clock.now())
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -26,6 +26,8 @@
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.DepartureBoard
 import dev.vanillarun.hosted.target.ExchangeKind
+import dev.vanillarun.hosted.target.GatedRequest
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -44,6 +46,7 @@
     val jobs: JobBoard,
     val tracker: TargetTracker,
     val departures: DepartureBoard,
+    val gates: TargetGates = TargetGates(),
 )
 
 /**
@@ -84,7 +87,7 @@
     private suspend fun runOnce(scope: CoroutineScope) {
         val catalog = inputs.catalog.catalog.value ?: return
         catalog.services.values.filter { it.models.isNotEmpty() }.forEach { service ->
-            val engines = inputs.replicas.of(service.name).filterNot(inputs.departures::isDeparting)
+            val engines = inputs.replicas.of(service.name).filter(::isAvailable)
             if (engines.isEmpty()) return@forEach
             val before = inputs.placement.placement.value
             val placement = placeModels(service.models, engines, before)
@@ -94,6 +97,9 @@
         }
     }
 
+    private fun isAvailable(engine: Replica): Boolean =
+        !inputs.departures.isDeparting(engine) && !inputs.catalog.evacuations.value.isEvacuated(engine.dataCentre)
+
     /** Versions by which the most outdated engine of [model] lags; jobs wait for an engine that lags far. */
     private fun versionsBehind(model: String, engines: List<Replica>, placement: ModelPlacement): Long {
         val newest = inputs.catalog.newestWeights.value[model]?.number ?: return 0
@@ -190,7 +196,7 @@
         delay(MIN_LOAD_TIME)
         while (clock.now() < until) {
             delay(STATUS_INTERVAL)
-            if (inputs.departures.isDeparting(engine)) return false
+            if (!isAvailable(engine)) return false
             val next = readStatus(engine)
             if (next != null && servesVersion(next, engine, model, version)) return true
             if (next != null && !next.busy && next.acceptedOrders == before.acceptedOrders) return false
@@ -198,12 +204,16 @@
         return false
     }
 
-    private suspend fun readStatus(engine: Replica): EngineStatus? =
-        calls.engineStatus(engine) { inputs.departures.responseReceived(engine, it, ExchangeKind.STATUS) }
+    private suspend fun readStatus(engine: Replica): EngineStatus? {
+        if (inputs.gates.enter(engine, GatedRequest(ExchangeKind.STATUS)) != null) return null
+        return calls.engineStatus(engine) { inputs.departures.responseReceived(engine, it, ExchangeKind.STATUS) }
+    }
 
     private suspend fun send(engine: Replica, order: LoadOrder, token: FencingToken): PlatformResult<OrderAnswer> {
         val departures = inputs.departures
-        val guard = SendGuard { !departures.isDeparting(engine) }
+        val guard = SendGuard {
+            !departures.isDeparting(engine) && inputs.gates.enter(engine, GatedRequest(ExchangeKind.ORDER)) == null
+        }
         return calls.order(engine, order, token, guard) { departures.responseReceived(engine, it, ExchangeKind.ORDER) }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/JobEndpoint.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.store.TopicAppendResult
+import dev.vanillarun.core.zone.allowedRegions
 import dev.vanillarun.hosted.job.JobBoard
 import dev.vanillarun.hosted.job.JobRecords
 import dev.vanillarun.hosted.job.LookupResult
@@ -14,6 +15,7 @@
 import java.util.Base64
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Handles the submission, the reads and the end of batch jobs. */
 internal class JobEndpoint(
@@ -36,6 +38,9 @@
             val sameCustomer = known.customer == customer?.id
             return if (sameCustomer) Reply(ACCEPTED, "already submitted") else Reply(CONFLICT, "the id is in use")
         }
+        if (allowedRegions(route.regions, customer?.regions.orEmpty())?.isEmpty() == true) {
+            return Reply.notRun("route and customer have no allowed region in common", NO_REGION_RETRY_AFTER)
+        }
         val job = when (val read = dialect.submission(head, route, customer?.id, wallClock(), body)) {
             is Submission.Accepted -> read.job
             is Submission.Malformed -> return Reply(BAD_REQUEST, "malformed: ${read.message}")
@@ -125,5 +130,8 @@
         /** Maximum time for an append; after that, a retry at another instance is more likely to succeed. */
         val MAX_APPEND_TIME = 2000.milliseconds
         val STORE_RETRY_AFTER = 200.milliseconds
+
+        /** Only a new catalog helps. */
+        val NO_REGION_RETRY_AFTER = 5.seconds
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -47,6 +47,7 @@
     val tracker: TargetTracker,
     val departures: DepartureBoard,
     val gates: TargetGates = TargetGates(),
+    val ownership: JobOwnership = JobOwnership(catalog, slots),
 )
 
 /**
@@ -70,6 +71,7 @@
 
     private val engines =
         EngineSelector(inputs.replicas, inputs.tracker, inputs.placement, inputs.departures, clock, inputs.gates)
+    private val evacuated = EvacuatedRuns(inputs.catalog.evacuations, inputs.replicas, engines, clock)
     private val unplaced = UnplacedItems(clock, events)
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
@@ -123,7 +125,7 @@
         val (loaded, others) = mine.partition { it.job?.loaded == true }
         others.forEach { loader.load(scope, it) }
         dispatchWaiting(scope, loaded)
-        if (accepting) moveFromSlowEngines()
+        if (accepting) moveRuns()
         inProgress = running.size
         isBusy = mine.isNotEmpty() || running.isNotEmpty()
         unplaced.report { unplacedItems(open.filter(::isOwned)) }
@@ -144,7 +146,7 @@
         if (!accepting) return "this instance is stopping"
         return when (
             val choice = engines.choose(
-                SampleTask(job, item, route),
+                SampleTask(job, item, route, inputs.catalog.regionsOf(job.customer)),
                 items.runs(),
                 items.isOverdue(item.id),
             )
@@ -162,14 +164,14 @@
 
     private fun isMine(view: JobView): Boolean = isOwned(view) && view.job?.let(::route) != null
 
-    private fun isOwned(view: JobView): Boolean = view.job?.let { inputs.slots.owns(it.subject) } ?: false
+    private fun isOwned(view: JobView): Boolean = view.job?.let(inputs.ownership::owns) ?: false
 
     private fun route(job: Job): CatalogRoute? = inputs.catalog.catalog.value?.route(job.host, job.path)
 
     private fun dispatch(scope: CoroutineScope, view: JobView, waiting: WaitingItem) {
         val job = view.job ?: return
         val route = route(job) ?: return
-        val task = SampleTask(job, waiting.item, route)
+        val task = SampleTask(job, waiting.item, route, inputs.catalog.regionsOf(job.customer))
         val key = RunKey(job.id, waiting.item.id)
         val before = progress[waiting.item.id] ?: ItemProgress()
         val known = before.copy(idleSince = before.idleSince ?: clock.now()).validFor(task)
@@ -201,8 +203,11 @@
         running.remove(RunKey(task.job.id, task.item.id))
     }
 
-    /** Moves runs to much faster engines, since an engine may be slow for seconds. */
-    private fun moveFromSlowEngines() {
+    /** Moves runs out of evacuated data centres, and to much faster engines, since an engine may be slow for seconds. */
+    private fun moveRuns() {
+        evacuated.moves(running, items.runs()).forEach {
+            move(it.key, it.run, progress[it.key.item] ?: ItemProgress(), it.destination)
+        }
         val now = clock.now()
         running.filterValues { now - it.since >= MIN_RUN_TIME_BEFORE_MOVE }.forEach { (key, run) ->
             val known = progress[key.item]?.takeIf { it.moves < MAX_MOVES }
@@ -265,7 +270,13 @@
     /** Scores the complete text of [task] if it has a reward call and records the result, or records it as aborted. */
     private suspend fun conclude(task: SampleTask, conclusion: Conclusion, transcript: Transcript) {
         val reward = task.item.reward
-        val scored = if (conclusion == Conclusion.SCORE && reward != null) rewards.score(reward) else null
+        val scored = if (conclusion == Conclusion.SCORE &&
+            reward != null
+        ) {
+            rewards.score(reward, task.customerRegions)
+        } else {
+            null
+        }
         when {
             conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted ->
                 record(task, ItemState.ABORTED, transcript)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.zone.Region
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.LiveOutcome
@@ -31,12 +32,15 @@
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
-    /** Retries [call] until it succeeds or the maximum attempts of its route have failed. */
-    suspend fun score(call: RewardCall): RewardResult {
+    /**
+     * Retries [call] until it succeeds or the maximum attempts of its route have failed. It goes to targets in
+     * [customerRegions] only, unless these are empty.
+     */
+    suspend fun score(call: RewardCall, customerRegions: Set<Region> = emptySet()): RewardResult {
         var errors = 0
         while (true) {
             val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
-            val outcome = route?.let { live.serve(request(call, it)) }
+            val outcome = route?.let { live.serve(request(call, it, customerRegions)) }
             if (outcome is LiveOutcome.Complete) {
                 val signature = outcome.signature
                 if (outcome.status < FIRST_ERROR && signature != null) return RewardResult.Scored(signature)
@@ -53,7 +57,7 @@
      * No caller waits for a single reward, so the hedge is sent only after the full objective: a useless hedge occupies
      * a slot of a service that live callers share, and cancelling it costs a connection.
      */
-    private fun request(call: RewardCall, route: CatalogRoute): LiveRequest {
+    private fun request(call: RewardCall, route: CatalogRoute, customerRegions: Set<Region>): LiveRequest {
         val now = clock.now()
         return LiveRequest(
             id = call.id,
@@ -69,6 +73,7 @@
             hedgeDelay = route.objective,
             mayBeQuarantined = false,
             kind = ExchangeKind.REWARD,
+            customerRegions = customerRegions,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -10,6 +10,8 @@
 import dev.vanillarun.core.job.TranscriptAppendResult
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.zone.Region
+import dev.vanillarun.core.zone.allowedRegions
 import dev.vanillarun.daemon.stream.EventSplitter
 import dev.vanillarun.daemon.target.BodyPart
 import dev.vanillarun.hosted.target.Activity
@@ -29,9 +31,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** An item to run, with its job and the route that matches the job. */
-internal class SampleTask(val job: Job, val item: JobItem, val route: CatalogRoute) {
+internal class SampleTask(
+    val job: Job,
+    val item: JobItem,
+    val route: CatalogRoute,
+    /** Regions to which the customer of the job is limited; empty if it may be anywhere. */
+    val customerRegions: Set<Region> = emptySet(),
+) {
     /** What gates may know of a run of the item. */
-    val gated: GatedRequest get() = GatedRequest(ExchangeKind.ITEM)
+    val gated: GatedRequest = GatedRequest(ExchangeKind.ITEM, allowedRegions(route.regions, customerRegions))
 }
 
 /** Outcome of a run of an item at one engine. */
@@ -178,6 +186,7 @@
             priority = task.route.priority,
             resumeAfter = before.lastEventNumber.takeIf { it > 0 },
             kind = ExchangeKind.ITEM,
+            regions = task.gated.regions,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SlotMembership.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.zone.Region
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -17,14 +18,20 @@
  *
  * The store assigns the slots. A grant does not fence: two instances may run the same job for a while, which wastes
  * work but changes no result, since the first record of an item counts.
+ *
+ * With a region, the group has only its instances as members. The group is joined only while [isNeeded].
  */
 internal class SlotMembership(
     private val log: TopicLog,
     private val member: String,
     private val events: EventRecorder,
+    region: Region? = null,
+    private val isNeeded: () -> Boolean = { true },
 ) {
     private val mutex = Mutex()
+    private val group = if (region == null) GROUP else "$GROUP.$region"
     private var hasLeft = false
+    private var hasJoined = false
     private val granted = MutableStateFlow(SlotGrant(generation = 0, emptySet()))
 
     /** The latest grant by the store; without slots until the first one and after [leave]. */
@@ -42,8 +49,14 @@
     }
 
     private suspend fun join(): Boolean {
-        if (!hasLeft) log.join(GROUP, member, granted.value.generation, TTL)?.let(::applyGrant)
-        return !hasLeft
+        if (hasLeft) return false
+        if (isNeeded()) {
+            hasJoined = true
+            log.join(group, member, granted.value.generation, TTL)?.let(::applyGrant)
+        } else if (granted.value.slots.isNotEmpty()) {
+            granted.value = SlotGrant(granted.value.generation, emptySet())
+        }
+        return true
     }
 
     /** Gives the slots up for good; [run] returns afterwards. */
@@ -51,8 +64,10 @@
         hasLeft = true
         val slots = granted.value.slots.sorted().joinToString(",")
         granted.value = SlotGrant(granted.value.generation, emptySet())
-        log.leave(GROUP, member)
-        events.record("slots.left", EventLinks(), mapOf("slots" to slots))
+        if (hasJoined) {
+            log.leave(group, member)
+            events.record("slots.left", EventLinks(), mapOf("slots" to slots, "group" to group))
+        }
     }
 
     private fun applyGrant(next: SlotGrant) {
@@ -60,6 +75,7 @@
             val attributes = mapOf(
                 "slots" to next.slots.sorted().joinToString(","),
                 "generation" to "${next.generation}",
+                "group" to group,
             )
             events.record("slots.granted", EventLinks(), attributes)
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -6,6 +6,8 @@
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.quarantine.Fingerprint
 import dev.vanillarun.core.time.Instant
+import dev.vanillarun.core.zone.Region
+import dev.vanillarun.core.zone.allowedRegions
 import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.GatedRequest
@@ -40,6 +42,7 @@
     /** Called before each attempt, with its target. */
     val onPassedOn: (target: TargetId, at: Instant) -> Unit = { _, _ -> },
     private val onRunning: (since: Instant) -> Unit = {},
+    customerRegions: Set<Region> = customer?.regions.orEmpty(),
 ) {
     private val running = AtomicBoolean()
 
@@ -58,7 +61,7 @@
     val priority: Int get() = customer?.priority ?: route.priority
 
     /** What gates may know of the request. */
-    val gated: GatedRequest get() = GatedRequest(kind)
+    val gated: GatedRequest = GatedRequest(kind, allowedRegions(route.regions, customerRegions))
 
     /** Builds the request to a target at [now]; a stream resumes after event [after]. */
     fun outgoing(now: Instant, after: Long? = resumeAfter) = OutgoingRequest(
@@ -73,6 +76,7 @@
         priority = priority,
         resumeAfter = after,
         kind = kind,
+        regions = gated.regions,
     )
 
     private companion object {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -25,6 +25,7 @@
 import dev.vanillarun.hosted.catalog.OperatorRecord
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.duty.PlacementBoard
+import dev.vanillarun.hosted.evacuation.EvacuationGate
 import dev.vanillarun.hosted.fake.Behaviour
 import dev.vanillarun.hosted.fake.FakeCodec
 import dev.vanillarun.hosted.fake.FakeTargets
@@ -34,6 +35,7 @@
 import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.flow.first
@@ -51,9 +53,14 @@
 
 /**
  * A [JobRunner] in virtual time with [engines] engines `e0:80`, `e1:80` and so on, of four slots each, and [scorers]
- * targets `s0:80` and so on for reward calls. Announcements never change, so a restart of an engine goes unnoticed.
+ * targets `s0:80` and so on for reward calls. The engines stand in [dataCentres] by turns. Announcements never change, so a restart of an engine goes unnoticed.
  */
-internal class RunnerFixture(private val scope: TestScope, private val engines: Int, private val scorers: Int) {
+internal class RunnerFixture(
+    private val scope: TestScope,
+    private val engines: Int,
+    private val scorers: Int,
+    private val dataCentres: List<String> = listOf("z"),
+) {
     val log = FakeTopicLog()
     val targets = FakeTargets()
     val recorded = mutableListOf<TimedEvent>()
@@ -69,7 +76,7 @@
     suspend fun start() {
         val background = scope.backgroundScope
         setEngines(Behaviour.EventStream())
-        repeat(engines) { FakeCodec.announce(log, "e$it", "$ENGINES ready") }
+        repeat(engines) { FakeCodec.announce(log, "e$it", "$ENGINES ready ${dataCentres[it % dataCentres.size]}") }
         repeat(scorers) { FakeCodec.announce(log, "s$it", "$SCORERS ready") }
         log.put(FakeCodec.operatorTopic, TopicRecord("catalog", byteArrayOf()))
         val catalog = CatalogSource(log, FixtureCodec, clock, events)
@@ -80,12 +87,13 @@
         val crashAppender = DurableAppender(log, CrashBoard.Topic, "crashes", NoOpEventRecorder)
         val slots = SlotMembership(log, "i", events)
         val departures = DepartureBoard(replicas, 2.seconds, clock, { now.inWholeMilliseconds }, events)
-        val gateway = TargetGateway(targets, targets, tracker, departures)
+        val gates = TargetGates(listOf(EvacuationGate(catalog.evacuations, replicas, clock)))
+        val gateway = TargetGateway(targets, targets, tracker, departures, gates = gates)
         val crashes = CrashBoard(log, crashAppender, background, clock, events)
         val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), clock)
         val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
         val runner = JobRunner(
-            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures),
+            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates),
             samples = SampleRunner(gateway, targets, tracker, clock),
             rewards = RewardCaller(catalog, live, clock, events),
             appender = appender,
@@ -122,9 +130,11 @@
         recorded.filter { it.name == "item.sent" && it.item == item.id.value && it.at >= since }.map { it.at }
 
     private object FixtureCodec : CatalogCodec by FakeCodec {
-        override fun operatorRecord(key: String, value: ByteArray) = OperatorRecord.CatalogPublished(
-            Catalog(version = 1, routes = listOf(route(ENGINES, "/gen/"), route(SCORERS, "/score/"))),
-        )
+        override fun operatorRecord(key: String, value: ByteArray): OperatorRecord {
+            if (key != "catalog") return FakeCodec.operatorRecord(key, value)
+            val routes = listOf(route(ENGINES, "/gen/"), route(SCORERS, "/score/"))
+            return OperatorRecord.CatalogPublished(Catalog(version = 1, routes = routes))
+        }
 
         private fun route(service: String, path: String) = CatalogRoute(
             name = service,
@@ -155,6 +165,9 @@
 }
 
 /** Runs [test] with a started fixture. */
-internal fun withRunner(engines: Int = 4, scorers: Int = 3, test: suspend RunnerFixture.() -> Unit) = runTest {
-    RunnerFixture(this, engines, scorers).apply { start() }.test()
-}
+internal fun withRunner(
+    engines: Int = 4,
+    scorers: Int = 3,
+    dataCentres: List<String> = listOf("z"),
+    test: suspend RunnerFixture.() -> Unit,
+) = runTest { RunnerFixture(this, engines, scorers, dataCentres).apply { start() }.test() }
