--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/catalog/CatalogTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/catalog/CatalogTest.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.core.catalog
 
 import dev.vanillarun.core.id.CustomerId
+import dev.vanillarun.core.zone.Region
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.seconds
@@ -52,4 +53,18 @@
                 catalog.copy(keyed = false).authorize(desk, null) shouldBe KeyDecision.Allowed(null)
             }
         }
+        describe("allowed regions") {
+            it("that no data centre lies in are reported with their route or customer") {
+                val north = Region("north")
+                val limited = Catalog(
+                    version = 1,
+                    routes = listOf(route("a", "/a/").copy(regions = setOf(north)), route("b", "/b/")),
+                    customers = mapOf(customer.id to customer.copy(regions = setOf(north, Region("sout")))),
+                )
+                limited.limitsRegions shouldBe true
+                limited.regionProblems(setOf(north)) shouldBe
+                    listOf("customer hule allows region sout, in which no data centre lies; name one of [north]")
+                catalog.limitsRegions shouldBe false
+            }
+        }
     })
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/evacuation/EvacuationGateTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/evacuation/EvacuationGateTest.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -71,7 +72,7 @@
                     FakeCodec.evacuate(log, "b")
                     source.evacuations.value.dataCentres shouldBe setOf(a)
                     log.up = true
-                    source.evacuations.first { it.dataCentres == setOf(a, b) }
+                    withTimeout(5.seconds) { source.evacuations.first { it.dataCentres == setOf(a, b) } }
                 }
             }
         }
@@ -85,7 +86,8 @@
                     log.put(FakeCodec.operatorTopic, TopicRecord("evacuate/a", null))
                     log.expire(FakeCodec.operatorTopic, offset = 3)
                     log.up = true
-                    source.evacuations.first { !it.isEvacuated(a) }.dataCentres shouldBe setOf(b)
+                    val next = withTimeout(5.seconds) { source.evacuations.first { !it.isEvacuated(a) } }
+                    next.dataCentres shouldBe setOf(b)
                 }
             }
         }
