--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/duty/WeightLoader.kt
@@ -86,7 +86,7 @@
     private suspend fun runOnce(scope: CoroutineScope) {
         val catalog = inputs.catalog.catalog.value ?: return
         catalog.services.values.filter { it.models.isNotEmpty() }.forEach { service ->
-            val engines = inputs.replicas.of(service.name).filterNot(inputs.departures::isDeparting)
+            val engines = inputs.replicas.of(service.name).filter(::isAvailable)
             if (engines.isEmpty()) return@forEach
             val before = inputs.placement.placement.value
             val placement = placeModels(service.models, engines, before)
@@ -96,6 +96,9 @@
         }
     }
 
+    private fun isAvailable(engine: Replica): Boolean =
+        !inputs.departures.isDeparting(engine) && !inputs.catalog.evacuations.value.isEvacuated(engine.dataCentre)
+
     /** Versions by which the most outdated engine of [model] lags; jobs wait for an engine that lags far. */
     private fun versionsBehind(model: String, engines: List<Replica>, placement: ModelPlacement): Long {
         val newest = inputs.catalog.newestWeights.value[model]?.number ?: return 0
@@ -192,7 +195,7 @@
         delay(MIN_LOAD_TIME)
         while (clock.now() < until) {
             delay(STATUS_INTERVAL)
-            if (inputs.departures.isDeparting(engine)) return false
+            if (!isAvailable(engine)) return false
             val next = engineCalls.status(engine)
             if (next != null && servesVersion(next, engine, model, version)) return true
             if (next != null && !next.busy && next.acceptedOrders == before.acceptedOrders) return false
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -7,6 +7,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.core.zone.Region
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.LiveOutcome
@@ -46,15 +47,22 @@
     /** Repeats that the budget of repeats did not cover, by route. */
     val repeatsWithheld: Map<String, Long> get() = lanes.mapValues { it.value.repeatsWithheld }
 
-    /** Retries [call] for an item of [group] until it succeeds or the maximum attempts of its route have failed. */
-    suspend fun score(call: RewardCall, group: RewardGroup = RewardGroup()): RewardResult {
+    /**
+     * Retries [call] for an item of [group] until it succeeds or the maximum attempts of its route have failed. It goes
+     * to targets in [customerRegions] only, unless these are empty.
+     */
+    suspend fun score(
+        call: RewardCall,
+        group: RewardGroup = RewardGroup(),
+        customerRegions: Set<Region> = emptySet(),
+    ): RewardResult {
         var errors = 0
         var failures = 0
         while (true) {
             val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
             val lane = route?.let { lanes.computeIfAbsent(it.name) { name -> RewardLane(name, clock, events) } }
             if (failures == 0) lane?.firstAttempt()
-            val outcome = if (lane == null) null else attempt(call, route, group, lane)
+            val outcome = if (lane == null) null else attempt(call, route, group, lane, customerRegions)
             if (outcome is LiveOutcome.Complete) {
                 val signature = outcome.signature
                 if (outcome.status < FIRST_ERROR && signature != null) return RewardResult.Scored(signature)
@@ -73,8 +81,13 @@
         }
     }
 
-    private suspend fun attempt(call: RewardCall, route: CatalogRoute, group: RewardGroup, lane: RewardLane) =
-        lane.inTurn(group, ::endOf) { live.serve(request(call, route, group)) }
+    private suspend fun attempt(
+        call: RewardCall,
+        route: CatalogRoute,
+        group: RewardGroup,
+        lane: RewardLane,
+        customerRegions: Set<Region>,
+    ) = lane.inTurn(group, ::endOf) { live.serve(request(call, route, group, customerRegions)) }
 
     private fun endOf(outcome: LiveOutcome): RewardCallEnd = when (outcome) {
         is LiveOutcome.Complete -> RewardCallEnd.ANSWERED
@@ -86,7 +99,12 @@
      * No caller waits for a single reward, so the hedge is sent only after the full objective: a useless hedge occupies
      * a slot of a service that live callers share, and cancelling it costs a connection.
      */
-    private fun request(call: RewardCall, route: CatalogRoute, group: RewardGroup): LiveRequest {
+    private fun request(
+        call: RewardCall,
+        route: CatalogRoute,
+        group: RewardGroup,
+        customerRegions: Set<Region>,
+    ): LiveRequest {
         val now = clock.now()
         return LiveRequest(
             id = call.id,
@@ -103,6 +121,7 @@
             mayBeQuarantined = false,
             kind = ExchangeKind.REWARD,
             yieldsPriority = !isNearDue(group, route),
+            customerRegions = customerRegions,
         )
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
@@ -56,6 +56,7 @@
     private val clock: MonotonicClock,
     private val wallClock: () -> Long,
     private val events: EventRecorder,
+    private val isReopened: (Replica) -> Boolean = { false },
 ) : TargetGate {
     private val targets = ConcurrentHashMap<TargetId, PacedTarget>()
     private val absentSince = ConcurrentHashMap<TargetId, Instant>()
@@ -207,7 +208,7 @@
         val isYoung = age < rules.coldDuration + ClockMargin && age > -MaxClockLead
         val announcedAt = listing.announcementAge(replica.id)?.let { now - it } ?: now
         return announced(replica.coldFor, announcedAt, rules.coldDuration, now)
-            .let { if (isNew) it.coldUntil(now + usualEnd) else it }
+            .let { if (isNew || isReopened(replica)) it.coldUntil(now + usualEnd) else it }
             .let { if (isYoung) it.coldUntil(now + minOf(rules.coldDuration + ClockMargin - age, usualEnd)) else it }
     }
 
