Count the slowness of a target's machine for as long as it lasts

Targets may report how much longer work takes on their machine now. The choice did not use it, and took such slowness into the mean latency, where it stayed: a target that was once slow got nothing, so nothing was observed there again. LoadReport.slowdown lengthens the expected time by what is left of it, decaying with the age of the report; observed latencies are divided by it; speeds of targets that report it fade to the median with the time since an observation. TargetLoad.slowdown is null where the fourth figure is missing: such targets are chosen as before.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/CompletionParameters.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/CompletionParameters.kt
@@ -59,9 +59,12 @@
     public val depth: DepthEstimate = DecayingReportDepth,
     /** Choice among targets with nearly equal scores. */
     public val tieBreak: TieBreak = TieBreak.PREFIX_OR_RANDOM,
-    /** Age at which the weight of a reported slowdown has decayed to 1/e. */
-    public val slowdownDecay: Duration = 300.milliseconds,
-    /** Time without observation after which a learned speed has decayed to 1/e of its distance from the median. */
+    /** Age at which the distance of a reported slowdown from the usual one has decayed to 1/e. */
+    public val slowdownDecay: Duration = LoadReport.SLOWDOWN_DECAY_TIME,
+    /**
+     * Time without observation after which the distance of a learned speed from the median has decayed to 1/e. Applies
+     * to targets that report their slowdown; without that figure a momentary slowness counts as the target's own.
+     */
     public val speedDecay: Duration = 10.seconds,
 ) {
     /** Parameters for each kind of work of the hosted daemon. */
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
@@ -4,15 +4,18 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.zone.DataCentre
 import java.util.SplittableRandom
+import kotlin.math.exp
 import kotlin.math.max
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /**
  * Selects the target with the lowest expected completion time of the request.
  *
  * The expected time is computed from the target's learned speed and the estimated number of requests in flight, and
- * increased where [params] say so. A target of unknown speed gets that of [CompletionParameters.unknownSpeed]. A new or
+ * increased where [params] say so. Where targets report how much longer work takes on their machine at the moment, that
+ * counts for as long as it is expected to last, and speeds learned long ago fade to the median. A target of unknown speed gets that of [CompletionParameters.unknownSpeed]. A new or
  * returning target warms up: it gets few requests until it has completed some. [CompletionParameters.tieBreak] decides
  * among nearly equal targets. [local] is the data centre of this instance; null if that of a target does not matter.
  */
@@ -30,7 +33,7 @@
         val open = candidates.eligible(request, excluded)
         if (open.size <= 1) return open.firstOrNull()?.id
         val pool = open.filterNot { it.isWarmingUp() }.ifEmpty { open }
-        val scores = scores(pool, assumedSecondsPerToken(candidates, pool), request, now)
+        val scores = scores(pool, speeds(candidates, pool, now), request, now)
         val limit = scores.min() * (1 + params.tolerance)
         val near = pool.filterIndexed { i, _ -> scores[i] <= limit }
         return choose(near, request, now).id
@@ -46,20 +49,32 @@
         }
     }
 
-    private fun scores(pool: List<TargetView>, assumed: Double, request: RequestProfile, now: Instant): DoubleArray {
+    private fun scores(
+        pool: List<TargetView>,
+        speeds: DoubleArray,
+        request: RequestProfile,
+        now: Instant,
+    ): DoubleArray {
         val maxCost = max(1L, pool.maxOf { it.costPerHourMilli })
         val depths = DoubleArray(pool.size) { params.depth.depth(pool[it], now) }
         val crowding = depths.sum() / pool.sumOf { it.slots }
         return DoubleArray(pool.size) { i ->
             val view = pool[i]
-            val secondsPerToken = view.stats.secondsPerToken.takeIf { it > 0.0 } ?: assumed
             val busy = 1 + params.loadPenalty * depths[i] / view.slots + params.batchSlowdown * depths[i]
             val work = view.work(request, depths[i], crowding) * busy
-            val time = (work + view.queueAhead(depths[i], request)) * secondsPerToken
-            (time + roundTrip(view)) * factor(view) * (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
+            val time = (work + view.queueAhead(depths[i], request)) * speeds[i]
+            (time + machineDelay(view, time, now) + roundTrip(view)) * factor(view) * (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
         }
     }
 
+    /** Seconds by which the slowness of the target's machine at [now] extends work that usually takes [time] seconds. */
+    private fun machineDelay(view: TargetView, time: Double, now: Instant): Double {
+        val slowdown = view.stats.report?.slowdownAt(now, params.slowdownDecay) ?: return 0.0
+        if (slowdown == 1.0) return 0.0
+        val decay = params.slowdownDecay.toDouble(DurationUnit.SECONDS)
+        return (slowdown - 1) * decay * (1 - exp(-time / decay))
+    }
+
     private val TargetView.isLocal: Boolean get() = local == null || dataCentre == local
 
     private fun roundTrip(view: TargetView): Double =
@@ -91,22 +106,34 @@
         return stats.inFlight >= 1 shl stats.completions
     }
 
+    /** Seconds per token of each target in [pool]: as learned, nearer to the median the longer ago that was. */
+    private fun speeds(candidates: List<TargetView>, pool: List<TargetView>, now: Instant): DoubleArray {
+        val assumed = assumedSecondsPerToken(candidates, pool)
+        val typical = if (pool.any { it.ages() }) quantile(candidates, rank = { (it - 1) / 2 }) else assumed
+        return DoubleArray(pool.size) { i ->
+            val stats = pool[i].stats
+            val known = stats.secondsPerToken.takeIf { it > 0.0 } ?: assumed
+            val age = stats.observedAt?.takeIf { pool[i].ages() }?.let { now - it } ?: Duration.ZERO
+            if (age <= Duration.ZERO) known else typical + (known - typical) * exp(-(age / params.speedDecay))
+        }
+    }
+
+    private fun TargetView.ages(): Boolean = stats.observedAt != null && stats.report?.slowdown != null
+
     private fun assumedSecondsPerToken(candidates: List<TargetView>, pool: List<TargetView>): Double =
         when (params.unknownSpeed) {
-            UnknownSpeed.ELIGIBLE_MEDIAN -> medianSecondsPerToken(pool)
-            UnknownSpeed.CANDIDATE_MEDIAN -> medianSecondsPerToken(candidates)
-            UnknownSpeed.CANDIDATE_FASTEST ->
-                candidates.minOfOrNull { it.stats.secondsPerToken.takeIf { known -> known > 0.0 } ?: Double.MAX_VALUE }
-                    ?.takeIf { it < Double.MAX_VALUE }
-                    ?: params.defaultSecondsPerToken
+            UnknownSpeed.ELIGIBLE_MEDIAN -> quantile(pool, rank = { it / 2 })
+            UnknownSpeed.CANDIDATE_MEDIAN -> quantile(candidates, rank = { it / 2 })
+            UnknownSpeed.CANDIDATE_FASTEST -> quantile(candidates, rank = { 0 })
         }
 
-    private fun medianSecondsPerToken(views: List<TargetView>): Double {
+    /** The known time per token at [rank] of their number, in ascending order; the default if none is known. */
+    private inline fun quantile(views: List<TargetView>, rank: (Int) -> Int): Double {
         val all = DoubleArray(views.size)
         var known = 0
         views.forEach { if (it.stats.secondsPerToken > 0.0) all[known++] = it.stats.secondsPerToken }
         all.sort(0, known)
-        return if (known == 0) params.defaultSecondsPerToken else all[known / 2]
+        return if (known == 0) params.defaultSecondsPerToken else all[rank(known)]
     }
 }
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/TargetStats.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/TargetStats.kt
@@ -29,6 +29,8 @@
     public val report: LoadReport? = null,
     /** Number of requests of other instances in flight on the target at the time of [report]. */
     public val othersAtReport: Int = 0,
+    /** Time of the latest observation in [secondsPerToken]; null if it is not known, the speed then does not age. */
+    public val observedAt: Instant? = null,
 ) {
     /** Records that a request of [work] tokens was sent. */
     public fun started(work: Long): TargetStats =
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetDialect.kt
@@ -76,8 +76,11 @@
     public val waiting: Int,
     /** Maximum number of concurrently running requests. */
     public val slots: Int,
-    /** Factor by which work takes longer on the machine of the target at the time of the report; one is usual. */
-    public val slowdown: Double = 1.0,
+    /**
+     * Factor by which work takes longer on the machine of the target at the time of the report, one is usual; null if
+     * the target does not report it.
+     */
+    public val slowdown: Double? = null,
 )
 
 /** Protocol of the targets: header names and event format. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
@@ -14,8 +14,13 @@
 public data class TargetObservations(
     /** Number of requests of this instance in flight at the target. */
     public val running: Int = 0,
-    /** Moving average of the time to a response or between two stream events; null before the first observation. */
+    /**
+     * Moving average of the time to a response or between two stream events, without the slowness of the moment that
+     * the target reports; null before the first observation.
+     */
     public val meanLatency: Duration? = null,
+    /** Time of the latest observation in [meanLatency]; null before the first one. */
+    public val latencyObservedAt: Instant? = null,
     /** Load in the latest response that reported it; null if none did. */
     public val load: TargetLoad? = null,
     /** Time at which [load] was received. */
@@ -49,10 +54,16 @@
     /** Ends one request that [requestStarted] counted, whatever its result. */
     public fun requestEnded(replica: Replica): Unit = change(replica) { it.copy(running = maxOf(0, it.running - 1)) }
 
-    /** Updates the mean latency of [replica] with [elapsed], the time of a response or of one event. */
+    /**
+     * Updates the mean latency of [replica] with [elapsed], the time of a response or of one event, divided by the
+     * slowdown of the target's machine by its latest report.
+     */
     public fun latencyObserved(replica: Replica, elapsed: Duration): Unit = change(replica) {
+        val now = clock.now()
+        val usual = elapsed / (it.report()?.slowdownAt(now) ?: 1.0)
         val before = it.meanLatency
-        it.copy(meanLatency = if (before == null) elapsed else before + (elapsed - before) * SMOOTHING_FACTOR)
+        val mean = if (before == null) usual else before + (usual - before) * SMOOTHING_FACTOR
+        it.copy(meanLatency = mean, latencyObservedAt = now)
     }
 
     /** Ends the backoff of [replica] and stores the load that [head] reports. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetViews.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetViews.kt
@@ -18,14 +18,18 @@
     slots: Int = replica.slots,
 ): TargetView {
     val known = of(replica)
-    val load = known.load
-    val reportedAt = known.loadReportedAt
-    val report = if (load == null || reportedAt == null) null else LoadReport(load.running, load.waiting, reportedAt)
     val stats = TargetStats(
         inFlight = inFlight,
         outstandingWork = inFlight * work,
         secondsPerToken = known.meanLatency?.toDouble(DurationUnit.SECONDS) ?: 0.0,
-        report = report,
+        report = known.report(),
+        observedAt = known.latencyObservedAt,
     )
     return TargetView(replica.id, replica.dataCentre, slots, stats, connected = connected)
 }
+
+/** The latest load report; null if there is none. */
+internal fun TargetObservations.report(): LoadReport? {
+    val reported = load ?: return null
+    return loadReportedAt?.let { LoadReport(reported.running, reported.waiting, it, reported.slowdown) }
+}
