Prefer engines that have read the prompt of a sample's group

Samples of a group share their prompt, and each engine that one of them reached read it again. EngineSelector tells the selector the prompt's length and the engines that read it under their present weights and run; the expected work there is without the prompt, so a sample goes elsewhere as soon as that saves more than the prefill. Only engines that report the state of their machine count. JobItem.promptTokens is new, read from the submission. Its effect under load is not measured.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Job.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Job.kt
@@ -70,6 +70,8 @@
     public val expectedTokens: Long? = null,
     /** Call whose response is the reward of the sample; null if the sample is not scored. */
     public val reward: RewardCall? = null,
+    /** Number of tokens of the prompt; zero if the submitter did not give it. */
+    public val promptTokens: Long = 0,
 )
 
 /** Call to a service target that scores a sample. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -5,7 +5,6 @@
 import dev.vanillarun.core.routing.CompletionParameters
 import dev.vanillarun.core.routing.ExpectedCompletionSelector
 import dev.vanillarun.core.routing.RelocationPolicy
-import dev.vanillarun.core.routing.RequestProfile
 import dev.vanillarun.core.routing.TargetView
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
@@ -46,6 +45,7 @@
     private val gates: TargetGates = TargetGates(),
 ) {
     private val selector = ExpectedCompletionSelector(local = null, Random.Default, CompletionParameters.ForSamples)
+    private val prompts = PromptHolders(tracker)
     private val relocation = RelocationPolicy(minSpeedup = MIN_SPEEDUP_TO_MOVE)
 
     /**
@@ -71,6 +71,9 @@
         }
     }
 
+    /** Records that the item of [task] is sent to [engine], which then holds the prompt of its group. */
+    fun dispatched(task: SampleTask, engine: Replica): Unit = prompts.recordRun(task, engine)
+
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
     fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, List<Instant>>): TargetId? {
         val engines = listed(task).filter {
@@ -78,7 +81,8 @@
         }
         val current = engines.find { it.id == engine } ?: return null
         val placed = engines.filter { isPlaced(it, task) }.map { view(it, task, running) }
-        return relocation.fasterTarget(view(current, task, running), placed, selector, profile(task), clock.now())
+        val profile = prompts.profile(task, engines)
+        return relocation.fasterTarget(view(current, task, running), placed, selector, profile, clock.now())
     }
 
     /** Engines that the model is not placed on are used only while the placed ones are full. */
@@ -88,12 +92,9 @@
         val placed = engines.filter { isPlaced(it, task) }.mapTo(HashSet()) { it.id }
         val others = if (free.any { it.id in placed }) views.filter { it.id !in placed } else emptyList()
         val excluded = (full + others).mapTo(HashSet()) { it.id }
-        return selector.select(views, profile(task), excluded, clock.now())
+        return selector.select(views, prompts.profile(task, engines), excluded, clock.now())
     }
 
-    private fun profile(task: SampleTask): RequestProfile =
-        RequestProfile(outputTokens = task.item.expectedTokens ?: task.item.tokens)
-
     private fun isPlaced(engine: Replica, task: SampleTask): Boolean {
         val placed = placement.placement.value.enginesOf(task.job.model)
         return placed.isEmpty() || engine.id in placed
@@ -127,7 +128,7 @@
     private fun view(engine: Replica, task: SampleTask, running: Map<TargetId, List<Instant>>): TargetView {
         val runs = running[engine.id].orEmpty()
         val slots = if (tracker.of(engine).failures > 0) slotsAfterFailure(engine, runs) else engine.slots
-        return tracker.view(engine, inFlight = runs.size, work = profile(task).work, slots = slots)
+        return tracker.view(engine, inFlight = runs.size, work = task.outputTokens.coerceAtLeast(1), slots = slots)
     }
 
     /** Leaves one slot free unless a run began after the failure; runs from before it may go on for long. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -183,6 +183,7 @@
         }
         val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
         val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
+        engines.dispatched(task, engine)
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
         takeover.itemSent(inputs.slots.slotOf(job.subject))
         running[key] = ActiveRun(work, engine.id, task, clock.now())
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -32,6 +32,9 @@
 internal class SampleTask(val job: Job, val item: JobItem, val route: CatalogRoute) {
     /** What gates may know of a run of the item. */
     val gated: GatedRequest get() = GatedRequest(ExchangeKind.ITEM)
+
+    /** Expected number of generated tokens; their upper bound if the submitter gave no estimate. */
+    val outputTokens: Long get() = item.expectedTokens ?: (item.tokens - item.promptTokens)
 }
 
 /** Outcome of a run of an item at one engine. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
@@ -16,6 +16,8 @@
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.fake.ManualClock
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.ResponseHead
+import dev.vanillarun.hosted.target.TargetLoad
 import dev.vanillarun.hosted.target.TargetTracker
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
@@ -43,19 +45,29 @@
         board.accept(listOf(stored(0, record.key, record.value)))
     }
 
+    fun report(engine: String, slowdown: Double?) {
+        val load = TargetLoad(0, 0, SLOTS, slowdown)
+        val head = ResponseHead(200, null, null, notRun = false, weights = null, load = load)
+        tracker.responseReceived(replica(engine), head)
+    }
+
+    fun dispatch(engine: String, task: SampleTask = task()) = selector.dispatched(task, replica(engine))
+
+    private fun replica(engine: String) = replicas.replicas.value.getValue(TargetId(engine))
+
     fun observe(engine: String, pace: Duration) =
-        tracker.latencyObserved(replicas.replicas.value.getValue(TargetId(engine)), pace)
+        tracker.latencyObserved(replica(engine), pace)
 
-    fun choose(running: Map<String, Int> = emptyMap()): String? {
+    fun choose(running: Map<String, Int> = emptyMap(), task: SampleTask = task()): String? {
         val runs = running.entries.associate { (id, count) -> TargetId(id) to List(count) { clock.now() } }
-        return (selector.choose(task(), runs) as? EngineChoice.Chosen)?.engine?.id?.value
+        return (selector.choose(task, runs) as? EngineChoice.Chosen)?.engine?.id?.value
     }
 
     private fun stored(offset: Int, key: String, value: ByteArray?) =
         StoredTopicRecord(Offset(offset.toLong()), key, value)
 }
 
-private fun task(): SampleTask {
+private fun task(group: String = "g", promptTokens: Long = 0): SampleTask {
     val route = CatalogRoute(
         name = "r",
         host = "h",
@@ -65,7 +77,9 @@
         timeout = Duration.INFINITE,
         objective = Duration.INFINITE,
     )
-    val items = RunnerFixture.items("i", ITEMS)
+    val items = RunnerFixture.items("i", ITEMS).map {
+        it.copy(group = group, promptTokens = promptTokens, expectedTokens = 100)
+    }
     return SampleTask(Job(JobId("j"), null, "h", "/", submittedAt = 0, items = items), items.first(), route)
 }
 
@@ -93,6 +107,28 @@
                 both.selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe null
             }
         }
+        describe("a group of samples that share a long prompt") {
+            fun engines(slowdown: Double?) = Engines().apply {
+                listOf("own", "other").forEach {
+                    observe(it, 20.milliseconds)
+                    report(it, slowdown)
+                }
+                dispatch("own", task(promptTokens = 1000))
+            }
+            val sample = task(promptTokens = 1000)
+
+            it("goes on at the engine that has read the prompt") {
+                engines(1.0).choose(mapOf("own" to 1), sample) shouldBe "own"
+                engines(1.0).choose(mapOf("own" to 1), task("another group", promptTokens = 1000)) shouldBe "other"
+            }
+            it("goes elsewhere rather than wait for longer than reading the prompt takes") {
+                engines(1.0).choose(mapOf("own" to 1), task(promptTokens = 20)) shouldBe "other"
+                engines(1.0).apply { observe("own", 200.milliseconds) }.choose(task = sample) shouldBe "other"
+            }
+            it("is placed as before where engines do not report the state of their machine") {
+                engines(null).choose(mapOf("own" to 1), sample) shouldBe "other"
+            }
+        }
         describe("engines without a placement") {
             it("are all used, the fastest first") {
                 val all = Engines().apply {
