--- a/vanillarun-bench/src/main/kotlin/dev/vanillarun/bench/policy/Experiments.kt
+++ b/vanillarun-bench/src/main/kotlin/dev/vanillarun/bench/policy/Experiments.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val TARGETS = 12
+private const val MORE_TARGETS = 40
 private const val MOST_TARGETS = 700
 private const val STRAGGLERS = 0.02
 private const val LARGE_STEP_GROUPS = 128
@@ -48,6 +49,7 @@
 /** Experiments that measure processor time; they run one at a time. */
 internal fun costExperiments(): List<Experiment> = listOf(
     selectionCost("cost of a selection, 12 targets", TARGETS),
+    selectionCost("cost of a selection, 40 targets", MORE_TARGETS),
     selectionCost("cost of a selection, 700 targets", MOST_TARGETS),
     queueCost("cost of the queue, 200 waiting"),
 )
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/ExpectedCompletionSelector.kt
@@ -7,23 +7,27 @@
 import kotlin.math.exp
 import kotlin.math.max
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /**
  * Selects the target with the lowest expected completion time of the request.
  *
  * The expected time is computed from the target's learned speed and the estimated number of requests in flight, and
- * increased where [params] say so. Where targets report how much longer work takes on their machine at the moment, that
- * counts for as long as it is expected to last, and speeds learned long ago fade to the median. A target of unknown speed gets that of [CompletionParameters.unknownSpeed]. A new or
- * returning target warms up: it gets few requests until it has completed some. [CompletionParameters.tieBreak] decides
- * among nearly equal targets. [local] is the data centre of this instance; null if that of a target does not matter.
+ * increased where [params] say so. Where targets report how much longer work takes on their machine at the moment,
+ * that counts for as long as it is expected to last, and speeds learned long ago fade to the median. A target of
+ * unknown speed gets that of [CompletionParameters.unknownSpeed]. A new or returning target warms up: it gets few
+ * requests until it has completed some. [CompletionParameters.tieBreak] decides among nearly equal targets. [local]
+ * is the data centre of this instance; null if that of a target does not matter.
  */
 public class ExpectedCompletionSelector(
     private val local: DataCentre?,
     private val random: Random,
     private val params: CompletionParameters = CompletionParameters(),
 ) : TargetSelector {
+    private val remoteRoundTrip = params.remoteRoundTrip.toDouble(DurationUnit.SECONDS)
+    private val slowdownDecay = params.slowdownDecay.toDouble(DurationUnit.SECONDS)
+    private val speedDecayNanos = params.speedDecay.toDouble(DurationUnit.NANOSECONDS)
+
     override fun select(
         candidates: List<TargetView>,
         request: RequestProfile,
@@ -63,22 +67,21 @@
             val busy = 1 + params.loadPenalty * depths[i] / view.slots + params.batchSlowdown * depths[i]
             val work = view.work(request, depths[i], crowding) * busy
             val time = (work + view.queueAhead(depths[i], request)) * speeds[i]
-            (time + machineDelay(view, time, now) + roundTrip(view)) * factor(view) * (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
+            (time + machineDelay(view, time, now) + roundTrip(view)) * factor(view) *
+                (1 + params.maxCostPenalty * view.costPerHourMilli / maxCost)
         }
     }
 
-    /** Seconds by which the slowness of the target's machine at [now] extends work that usually takes [time] seconds. */
+    /** Seconds by which the slowness of the target's machine at [now] extends work that usually takes [time]. */
     private fun machineDelay(view: TargetView, time: Double, now: Instant): Double {
         val slowdown = view.stats.report?.slowdownAt(now, params.slowdownDecay) ?: return 0.0
         if (slowdown == 1.0) return 0.0
-        val decay = params.slowdownDecay.toDouble(DurationUnit.SECONDS)
-        return (slowdown - 1) * decay * (1 - exp(-time / decay))
+        return (slowdown - 1) * time * slowdownDecay / (time + slowdownDecay)
     }
 
     private val TargetView.isLocal: Boolean get() = local == null || dataCentre == local
 
-    private fun roundTrip(view: TargetView): Double =
-        if (view.isLocal) 0.0 else params.remoteRoundTrip.toDouble(DurationUnit.SECONDS)
+    private fun roundTrip(view: TargetView): Double = if (view.isLocal) 0.0 else remoteRoundTrip
 
     private fun factor(view: TargetView): Double {
         val connection = if (view.connected) 1.0 else params.newConnectionFactor
@@ -108,13 +111,14 @@
 
     /** Seconds per token of each target in [pool]: as learned, nearer to the median the longer ago that was. */
     private fun speeds(candidates: List<TargetView>, pool: List<TargetView>, now: Instant): DoubleArray {
-        val assumed = assumedSecondsPerToken(candidates, pool)
-        val typical = if (pool.any { it.ages() }) quantile(candidates, rank = { (it - 1) / 2 }) else assumed
+        val allKnown = pool.all { it.stats.secondsPerToken > 0.0 }
+        val assumed = if (allKnown) 0.0 else assumedSecondsPerToken(candidates, pool)
+        val typical = if (pool.any { it.ages() }) quantile(candidates, rank = { (it - 1) / 2 }) else 0.0
         return DoubleArray(pool.size) { i ->
             val stats = pool[i].stats
             val known = stats.secondsPerToken.takeIf { it > 0.0 } ?: assumed
-            val age = stats.observedAt?.takeIf { pool[i].ages() }?.let { now - it } ?: Duration.ZERO
-            if (age <= Duration.ZERO) known else typical + (known - typical) * exp(-(age / params.speedDecay))
+            val age = stats.observedAt?.takeIf { pool[i].ages() }?.let { now.nanos - it.nanos } ?: 0
+            if (age <= 0) known else typical + (known - typical) * exp(-age / speedDecayNanos)
         }
     }
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/LoadReport.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/routing/LoadReport.kt
@@ -13,7 +13,7 @@
     public val waiting: Int = 0,
     /** Time of measurement on this process's clock: arrival time minus the age that the target reported. */
     public val takenAt: Instant,
-    /** Factor by which work took longer on the target's machine, one is usual; null if the target does not report it. */
+    /** Factor by which work took longer on the target's machine, one is usual; null if it was not reported. */
     public val slowdown: Double? = null,
 ) {
     /** Number of requests in flight on the target, running or queued. */
@@ -23,7 +23,8 @@
     public fun slowdownAt(now: Instant, decay: Duration = SLOWDOWN_DECAY_TIME): Double {
         val reported = slowdown ?: return 1.0
         if (reported == 1.0) return 1.0
-        return 1 + (reported - 1) * exp(-((now - takenAt).coerceAtLeast(Duration.ZERO) / decay))
+        val age = (now.nanos - takenAt.nanos).coerceAtLeast(0)
+        return 1 + (reported - 1) * exp(-age.toDouble() / decay.inWholeNanoseconds)
     }
 
     /** Decay of reports. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/routing/MachineSlowdownTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/routing/MachineSlowdownTest.kt
@@ -17,17 +17,22 @@
 private val centre = DataCentre("a")
 private val start = Instant(0)
 
-private fun target(id: String, spt: Double, slowdown: Double?, reportedAt: Instant = start, observedAt: Instant = start) =
-    TargetView(
-        TargetId(id),
-        centre,
-        concurrency = 4,
-        TargetStats(
-            secondsPerToken = spt,
-            report = LoadReport(0, takenAt = reportedAt, slowdown = slowdown),
-            observedAt = observedAt,
-        ),
-    )
+private fun target(
+    id: String,
+    spt: Double,
+    slowdown: Double?,
+    reportedAt: Instant = start,
+    observedAt: Instant = start,
+) = TargetView(
+    TargetId(id),
+    centre,
+    concurrency = 4,
+    TargetStats(
+        secondsPerToken = spt,
+        report = LoadReport(0, takenAt = reportedAt, slowdown = slowdown),
+        observedAt = observedAt,
+    ),
+)
 
 /** Number of [calls] that go to [id]. */
 private fun share(id: String, targets: List<TargetView>, now: Instant, seed: Int, calls: Int = 60): Int {
@@ -35,7 +40,7 @@
     return (1..calls).count { selector.select(targets, RequestProfile(), emptySet(), now)?.value == id }
 }
 
-/** Time of the first of calls, one each 50 ms, that goes to a target that seemed three times as slow, and then got none. */
+/** Time of the first call, of one each 50 ms, that goes to a target that seemed three times as slow as the others. */
 private fun firstReturn(slowdown: Double?, seed: Int): Duration? {
     val selector = ExpectedCompletionSelector(centre, Random(seed), CompletionParameters.ForCalls)
     return generateSequence(start) { it + 50.milliseconds }.takeWhile { it - start < 60.seconds }.firstOrNull { now ->
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/routing/SampleSelectionTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/routing/SampleSelectionTest.kt
@@ -73,9 +73,8 @@
 
         describe("a run on a degraded engine") {
             val slow = engine("slow", 4, 120)
-            fun faster(vararg others: TargetView): String? =
-                RelocationPolicy(minSpeedup = 3.0)
-                    .fasterTarget(slow, listOf(slow, *others), selector, request, now)?.value
+            fun faster(vararg others: TargetView): String? = RelocationPolicy(minSpeedup = 3.0)
+                .fasterTarget(slow, listOf(slow, *others), selector, request, now)?.value
 
             it("moves to a much faster one with a free slot, and to no other") {
                 faster(engine("fast", 3, 30)) shouldBe "fast"
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/ReplicaChooser.kt
@@ -38,7 +38,7 @@
         return selector.select(views, Call, excluded, clock.now())?.let { id -> candidates.first { it.id == id } }
     }
 
-    /** True if every target that may get [request] backs off after rejections for lack of capacity, not after failures. */
+    /** True if every target that may get [request] backs off after rejections for lack of capacity, not failures. */
     fun isFull(request: LiveRequest): Boolean {
         val candidates = open(request)
         return candidates.isNotEmpty() && candidates.all { !tracker.usable(it) && tracker.of(it).failures == 0 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
@@ -55,8 +55,7 @@
 
     private fun replica(engine: String) = replicas.replicas.value.getValue(TargetId(engine))
 
-    fun observe(engine: String, pace: Duration) =
-        tracker.latencyObserved(replica(engine), pace)
+    fun observe(engine: String, pace: Duration) = tracker.latencyObserved(replica(engine), pace)
 
     fun choose(running: Map<String, Int> = emptyMap(), task: SampleTask = task()): String? {
         val runs = running.entries.associate { (id, count) -> TargetId(id) to List(count) { clock.now() } }
