--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -187,6 +187,7 @@
         }
         val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
         val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
+        engines.dispatched(task, engine)
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
         assigned++
         takeover.itemSent(inputs.slots.slotOf(job.subject))
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -40,6 +40,9 @@
 ) {
     /** What gates may know of a run of the item. */
     val gated: GatedRequest = GatedRequest(ExchangeKind.ITEM, allowedRegions(route.regions, customerRegions))
+
+    /** Expected number of generated tokens; their upper bound if the submitter gave no estimate. */
+    val outputTokens: Long get() = item.expectedTokens ?: (item.tokens - item.promptTokens)
 }
 
 /** Outcome of a run of an item at one engine. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
@@ -119,7 +119,7 @@
     }
 
     override fun responded(replica: Replica, request: GatedRequest, head: ResponseHead) {
-        if (head.load?.reportsSlowdown == true) reporting += replica.service
+        if (head.load?.slowdown != null) reporting += replica.service
         val rules = rules(replica)
         if (!rules.isLimited) return
         val now = clock.now()
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
@@ -134,7 +134,7 @@
             // Load: a queue of calls before a target that has come back.
             it("gets one request, then more with each answer, once it failed and reports the state of its machine") {
                 val instance = Instance(coldStart = null)
-                val report = instance.head(load = TargetLoad(1, 0, 6, reportsSlowdown = true))
+                val report = instance.head(load = TargetLoad(1, 0, 6, slowdown = 1.0))
                 instance.answer(instance.warm, head = report)
                 instance.gate.unreachable(instance.warm)
                 instance.clock.advance(1.seconds)
