--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -203,7 +203,7 @@
         running.remove(RunKey(task.job.id, task.item.id))
     }
 
-    /** Moves runs out of evacuated data centres, and to much faster engines, since an engine may be slow for seconds. */
+    /** Moves runs out of evacuated data centres and away from engines that are slow. */
     private fun moveRuns() {
         evacuated.moves(running, items.runs()).forEach {
             move(it.key, it.run, progress[it.key.item] ?: ItemProgress(), it.destination)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -53,7 +53,8 @@
 
 /**
  * A [JobRunner] in virtual time with [engines] engines `e0:80`, `e1:80` and so on, of four slots each, and [scorers]
- * targets `s0:80` and so on for reward calls. The engines stand in [dataCentres] by turns. Announcements never change, so a restart of an engine goes unnoticed.
+ * targets `s0:80` and so on for reward calls. The engines stand in [dataCentres] by turns.
+ * Announcements never change, so a restart of an engine goes unnoticed.
  */
 internal class RunnerFixture(
     private val scope: TestScope,
