Split the access to targets from the hosted daemon's composition

Change: TargetAccess holds what every request to a target passes: departures, gates, gateway and the choice for plain services. No behaviour changes.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -35,8 +35,6 @@
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.duty.UsageReporter
 import dev.vanillarun.hosted.duty.WeightLoader
-import dev.vanillarun.hosted.evacuation.EvacuationGate
-import dev.vanillarun.hosted.evacuation.registerEvacuations
 import dev.vanillarun.hosted.front.CallAdmission
 import dev.vanillarun.hosted.front.CallCounter
 import dev.vanillarun.hosted.front.CallerDrain
@@ -54,21 +52,11 @@
 import dev.vanillarun.hosted.job.registerRoom
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
-import dev.vanillarun.hosted.live.ReplicaChooser
 import dev.vanillarun.hosted.live.StreamForwarder
-import dev.vanillarun.hosted.pace.ColdGrant
-import dev.vanillarun.hosted.pace.PaceGate
-import dev.vanillarun.hosted.pace.registerPace
-import dev.vanillarun.hosted.region.RegionGate
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
-import dev.vanillarun.hosted.target.DepartureBoard
-import dev.vanillarun.hosted.target.StrayAnswers
-import dev.vanillarun.hosted.target.TargetGates
-import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
-import dev.vanillarun.hosted.target.registerTargets
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
@@ -118,33 +106,21 @@
 
     private val tracker = TargetTracker(clock)
     private val placement = PlacementBoard(ports.store, tracker, clock, events)
-    private val departures =
-        DepartureBoard(replicas, settings.hosting.drainMs.milliseconds, clock, wallClock, events)
-    private val strays = StrayAnswers(events)
-    private val evacuations = EvacuationGate(catalog.evacuations, replicas, clock)
-    private val pace = PaceGate(
-        service = { catalog.catalog.value?.services?.get(it) },
-        listing = replicas,
+    private val targets = TargetAccess(
+        settings = settings,
+        ports = ports,
+        catalog = catalog,
+        replicas = replicas,
+        tracker = tracker,
         ownership = { slots.holds(placement.placement.value.models[it.id] ?: it.id.value) },
-        grant = ColdGrant(settings.hosting.coldOver, settings.hosting.coldSlack),
         clock = clock,
         wallClock = wallClock,
         events = events,
-        isReopened = evacuations::recentlyReopened,
-    )
-    private val gates = TargetGates(listOf(evacuations, RegionGate(settings.regionOf), pace), clock)
-    private val gateway = TargetGateway(ports.client, ports.targets, tracker, departures, strays, gates)
-    private val chooser = ReplicaChooser(
-        departures = departures,
-        tracker = tracker,
-        isWarm = gateway::isWarm,
-        local = DataCentre(settings.dataCentre),
-        clock = clock,
-        gates = gates,
     )
     private val crashes = CrashBoard(ports.store, crashAppender, scope, clock, events)
-    private val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
-    private val streams = StreamForwarder(chooser, gateway, ports.targets, tracker, crashes, clock, events)
+    private val live = LiveForwarder(targets.chooser, targets.gateway, tracker, crashes, clock, events)
+    private val streams =
+        StreamForwarder(targets.chooser, targets.gateway, ports.targets, tracker, crashes, clock, events)
     private val usageWindow = settings.hosting.usageWindowS.seconds
     private val usageMeter = UsageMeter(usageAppender, usageWindow, clock, wallClock)
     private val slots = SlotMembership(ports.store, settings.instance, events, clock)
@@ -186,8 +162,18 @@
 
     private val rewards = RewardCaller(catalog, live, clock, events)
     private val runner = JobRunner(
-        inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates, ownership),
-        samples = SampleRunner(gateway, ports.targets, tracker, clock),
+        inputs = RunnerInputs(
+            board = board,
+            catalog = catalog,
+            replicas = replicas,
+            placement = placement,
+            slots = slots,
+            tracker = tracker,
+            departures = targets.departures,
+            gates = targets.gates,
+            ownership = ownership,
+        ),
+        samples = SampleRunner(targets.gateway, ports.targets, tracker, clock),
         rewards = rewards,
         appender = jobAppender,
         writer = writer,
@@ -195,7 +181,8 @@
         wallClock = wallClock,
         events = events,
     )
-    private val controlInputs = ControlInputs(catalog, replicas, placement, board, tracker, departures, gates)
+    private val controlInputs =
+        ControlInputs(catalog, replicas, placement, board, tracker, targets.departures, targets.gates)
     private val weightLoader = WeightLoader(
         duty = duty,
         calls = ports.calls,
@@ -242,10 +229,7 @@
     private val servers = mutableListOf<HttpServer>()
 
     init {
-        ports.client.onStrayAnswer(strays)
-        metrics.registerEvacuations(catalog.evacuations)
-        metrics.registerTargets(departures, strays, gateway)
-        metrics.registerPace(pace)
+        targets.register(metrics)
         metrics.registerRoom(rewards, live)
         metrics.registerFaults(connections)
     }
@@ -316,10 +300,9 @@
         supervisor.start("usage.reporter") { usageReporter.run() }
     }
 
-    private fun retainTargets(targets: Map<TargetId, Replica>) {
-        tracker.retain(targets.values)
-        departures.retain(targets.values)
-        pace.retain(targets.values)
+    private fun retainTargets(present: Map<TargetId, Replica>) {
+        tracker.retain(present.values)
+        targets.retain(present.values)
     }
 
     private fun status() = InstanceStatus(
@@ -333,8 +316,8 @@
                 target = it.id.value,
                 inFlight = tracker.of(it).running,
                 ejected = !tracker.usable(it),
-                leaving = it.leaving || departures.isDeparting(it),
-                departureSeenBy = departures.departureOf(it)?.label,
+                leaving = it.leaving || targets.departures.isDeparting(it),
+                departureSeenBy = targets.departures.departureOf(it)?.label,
             )
         },
         duties = listOfNotNull(duty.heldTerm?.let { HeldDuty(duty.name, it.value) }),
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -145,13 +145,8 @@
         val route = route(job) ?: return "no route"
         items.reasonNotDue(RunKey(job.id, item.id))?.let { return it }
         if (!accepting) return "this instance is stopping"
-        return when (
-            val choice = engines.choose(
-                SampleTask(job, item, route, inputs.catalog.regionsOf(job.customer)),
-                items.runs(),
-                items.isOverdue(item.id),
-            )
-        ) {
+        val task = SampleTask(job, item, route, inputs.catalog.regionsOf(job.customer))
+        return when (val choice = engines.choose(task, items.runs(), items.isOverdue(item.id))) {
             is EngineChoice.Chosen -> "not dispatched yet"
             is EngineChoice.None -> choice.description
         }
@@ -255,11 +250,8 @@
             "end" to end.describe(),
             "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
         )
-        if (end is RunOutcome.Complete &&
-            before.transcript.lastEventNumber == 0L
-        ) {
-            items.runCompleted(task.item, elapsed)
-        }
+        val isWholeRun = end is RunOutcome.Complete && before.transcript.lastEventNumber == 0L
+        if (isWholeRun) items.runCompleted(task.item, elapsed)
         progress[task.item.id] = before.afterRun(end, clock.now())
         wake.trySend(Unit)
         val conclusion = when (end) {
