Count only refusals by targets as refusals of rewards

Cause: each reward that was not run, also one withheld by a gate or without a target, halved the window of its route. Red before: RewardsUnderShortageTest 'leave the window of the route open', 18 window events instead of 0.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -85,6 +85,7 @@
         private var mayHaveRun = 0
         private var failure: LiveOutcome.Complete? = null
         private var serverErrors = 0
+        private var refused = false
         private var reason = chooser.reasonForNone(request)
 
         suspend fun run(): LiveOutcome {
@@ -99,8 +100,10 @@
                     hedgeDelay < left -> start()
                 }
             }
-            return failure
-                ?: if (mayHaveRun > 0) LiveOutcome.Unknown(reason, timedOut = false) else LiveOutcome.NotRun(reason)
+            return failure ?: when {
+                mayHaveRun > 0 -> LiveOutcome.Unknown(reason, timedOut = false)
+                else -> LiveOutcome.NotRun(reason, refused)
+            }
         }
 
         /** Waits for a result. Unlike a receive within a timeout, a select never drops one that it has received. */
@@ -123,6 +126,7 @@
 
                 is Attempt.NotRun -> {
                     reason = result.reason
+                    refused = refused || result.refused
                     if (result.refused && !retries.permits(request, triedIds.size, clock.now())) return null
                 }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -109,8 +109,8 @@
     /** The response was streamed, to its end if [complete], otherwise cut off after event [lastEventNumber]. */
     data class Streamed(val lastEventNumber: Long, val complete: Boolean, val reason: String) : LiveOutcome
 
-    /** No target has run the request or will run it. */
-    data class NotRun(val reason: String) : LiveOutcome
+    /** No target has run the request or will run it; [refused] is true if a target got and refused it. */
+    data class NotRun(val reason: String, val refused: Boolean = false) : LiveOutcome
 
     /** A target may have run the request; [timedOut] is true if the deadline has passed. */
     data class Unknown(val reason: String, val timedOut: Boolean) : LiveOutcome
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RewardsUnderShortageTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RewardsUnderShortageTest.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.hosted.fake.Behaviour
 import dev.vanillarun.hosted.job.RunnerFixture.Companion.items
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -47,4 +48,16 @@
                 }
             }
         }
+
+        describe("the rewards of a group while their service has no target at all") {
+            // Guards against one customer's shortage of targets that throttles the route for all others.
+            it("leave the window of the route open") {
+                withRunner(scorers = 0) {
+                    submit("j", items("i", ITEMS, scored = true))
+                    delay(10.seconds)
+                    recorded.count { it.name == "reward.retried" } shouldBeGreaterThan 0
+                    recorded.count { it.name == "reward.window" } shouldBe 0
+                }
+            }
+        }
     })
