Let rewards wait out the backoff of full targets

Cause: a reward repeated within the backoff after a 503 was refused here, which counted the same shortage twice. Change: rewards wait for room for up to 300 ms before they are sent; a local refusal is no refusal of a target. Red before: FullTargetsTest 'waits for the end of the backoff and is sent then', 1 send instead of 8.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import dev.vanillarun.core.overload.retryAfter as timeToReturn
 
 /** What this instance knows of the room at the targets of live calls, and what that means for a call. */
@@ -48,10 +49,10 @@
         return timeToReturn(targets(request), usual, request.deadline - clock.now())
     }
 
-    /** Rewards wait in a queue of their own, where the most urgent one goes first. */
     private fun maxWait(request: LiveRequest): Duration {
-        if (request.kind == ExchangeKind.REWARD) return Duration.ZERO
-        return minOf(request.route.objective, request.deadline - request.received) * WAIT_SHARE
+        val timeLeft = request.deadline - request.received
+        if (request.kind == ExchangeKind.REWARD) return minOf(MAX_REWARD_WAIT, timeLeft)
+        return minOf(request.route.objective, timeLeft) * WAIT_SHARE
     }
 
     private fun targets(request: LiveRequest): List<TargetRoom> = chooser.open(request).map(::roomAt)
@@ -79,5 +80,8 @@
 
         /** Fraction of the objective for which a call may wait here; most of it has to be left for the answer. */
         const val WAIT_SHARE = 0.125
+
+        /** Rewards wait out the longest backoff after a refusal, which says nothing new about the room. */
+        val MAX_REWARD_WAIT = 300.milliseconds
     }
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.hosted.fake.Behaviour
+import dev.vanillarun.hosted.target.ExchangeKind
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
@@ -23,7 +24,12 @@
 private fun TestScope.virtualClock() =
     MonotonicClock { Instant(testScheduler.currentTime.milliseconds.inWholeNanoseconds) }
 
-private fun request(now: Instant, kind: RequestKind = RequestKind.IDEMPOTENT, within: Duration = 3.seconds) =
+private fun request(
+    now: Instant,
+    kind: RequestKind = RequestKind.IDEMPOTENT,
+    within: Duration = 3.seconds,
+    exchange: ExchangeKind = ExchangeKind.LIVE,
+) =
     LiveRequest(
         id = "r1",
         method = "POST",
@@ -44,6 +50,7 @@
         customer = null,
         received = now,
         deadline = now + within,
+        kind = exchange,
     )
 
 class FullTargetsTest :
@@ -88,4 +95,20 @@
                 }
             }
         }
+        describe("a reward while all targets are full for a moment") {
+            // Guards against a shortage that counts twice: by the refusal and by the backoff that follows it.
+            it("waits for the end of the backoff and is sent then") {
+                runTest {
+                    val clock = virtualClock()
+                    withTargets(1, clock) {
+                        targets.behaviours["t0:80"] = Refusal
+                        repeat(8) { live.serve(request(clock.now(), exchange = ExchangeKind.REWARD)) }
+                        targets.requestedAddresses.size shouldBe 8
+                        targets.behaviours["t0:80"] = Behaviour.Response()
+                        live.serve(request(clock.now(), exchange = ExchangeKind.REWARD))
+                            .shouldBeInstanceOf<LiveOutcome.Complete>()
+                    }
+                }
+            }
+        }
     })
