Send refused calls on to targets known to have room

Cause: a spent budget of retries ended calls with 503 while untried targets had room. Change: a spent budget withholds nothing if an untried target refused nothing or reports a free slot. Red before: FullTargetsTest 'go on to the others, also when the budget of retries is spent', NotRun.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -127,7 +127,7 @@
                 is Attempt.NotRun -> {
                     reason = result.reason
                     refused = refused || result.refused
-                    if (result.refused && !retries.permits(request, triedIds.size, clock.now())) return null
+                    if (result.refused && !mayGoOn()) return null
                 }
 
                 is Attempt.Unknown -> {
@@ -139,6 +139,10 @@
             return null
         }
 
+        /** True if a refused request goes to another target: within the budget, or to one known to have room. */
+        private fun mayGoOn(): Boolean =
+            retries.permits(request, triedIds.size, clock.now()) { room.isKnownBeyond(request, triedIds) }
+
         private fun hedgeDelay(): Duration = if (mayStart()) request.hedgeDelay else Duration.INFINITE
 
         /** True if the route, the time left and the attempts so far permit another attempt beside those in flight. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
@@ -37,6 +37,14 @@
         }
     }
 
+    /** True if a target of [request] outside [triedIds] is known to have room, by a report or as it refused nothing. */
+    fun isKnownBeyond(request: LiveRequest, triedIds: Set<TargetId>): Boolean = chooser.open(request).any {
+        it.id !in triedIds && tracker.usable(it) && isKnown(it) && !roomAt(it).isFull
+    }
+
+    private fun isKnown(replica: Replica): Boolean =
+        tracker.of(replica).refusals == 0 || roomAt(replica).busy?.let { it < replica.slots } == true
+
     /** Records that [replica] has just refused a request for lack of capacity. */
     fun refused(replica: Replica) {
         val load = tracker.of(replica).load ?: return
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/RefusalRetries.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/RefusalRetries.kt
@@ -37,8 +37,11 @@
         of(request).state.updateAndGet { it.firstAttempt() }
     }
 
-    /** Takes one retry for [request], which was sent to [sends] targets; false if it must not be sent again. */
-    fun permits(request: LiveRequest, sends: Int, now: Instant): Boolean {
+    /**
+     * Takes one retry for [request], which was sent to [sends] targets; false if it must not be sent again. A spent
+     * budget withholds nothing if [hasRoom], that is, if another target is known to have room.
+     */
+    fun permits(request: LiveRequest, sends: Int, now: Instant, hasRoom: () -> Boolean): Boolean {
         val budget = of(request)
         val attempt = FailedAttempt(
             execution = Execution.NOT_RUN,
@@ -53,7 +56,9 @@
                 is RetryDecision.Retry -> if (budget.state.compareAndSet(before, decision.budget)) return true
 
                 is RetryDecision.GiveUp -> {
-                    if (decision.reason == GiveUpReason.BUDGET) synchronized(budget) { budget.withheld++ }
+                    if (decision.reason != GiveUpReason.BUDGET) return false
+                    if (hasRoom()) return true
+                    synchronized(budget) { budget.withheld++ }
                     return false
                 }
             }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
@@ -13,6 +13,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlin.time.Duration
@@ -111,4 +112,25 @@
                 }
             }
         }
+        describe("calls that one target refuses while others have room") {
+            // Guards against refused callers after a shortage that spent the budget of retries.
+            it("go on to the others, also when the budget of retries is spent") {
+                runTest {
+                    val clock = virtualClock()
+                    withTargets(3, clock) {
+                        fun all(behaviour: Behaviour) = repeat(3) { targets.behaviours["t$it:80"] = behaviour }
+                        all(Refusal)
+                        repeat(60) { live.serve(request(clock.now(), RequestKind.NON_IDEMPOTENT)) }
+                        live.retriesWithheld.getValue("live") shouldBeGreaterThan 0L
+                        all(Behaviour.Response())
+                        repeat(20) { live.serve(request(clock.now())).also { delay(400.milliseconds) } }
+                        targets.behaviours["t0:80"] = Refusal
+                        repeat(60) {
+                            live.serve(request(clock.now())).shouldBeInstanceOf<LiveOutcome.Complete>()
+                            delay(400.milliseconds)
+                        }
+                    }
+                }
+            }
+        }
     })
