Spend the budget of repeats after refusals only

Cause: rewards that failed otherwise waited for up to 2 s once the budget was spent, and 40 ms before. Change: only refusals spend the budget; other failures are repeated after 20 to 40 ms. The new law in RewardQueueTest was not run red: the earlier method has no such parameter.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
@@ -103,8 +103,12 @@
         budget = budget.firstAttempt()
     }
 
-    /** Delay before a call is offered again after [failures] failed attempts; longer beyond the budget of repeats. */
-    public fun repeatDelay(failures: Int): Duration {
+    /**
+     * Delay before a call is offered again after [failures] failed attempts, the last of which ended with [end]; longer
+     * after a refusal beyond the budget of repeats.
+     */
+    public fun repeatDelay(failures: Int, end: RewardCallEnd): Duration {
+        if (end != RewardCallEnd.REFUSED) return repeatBackoff.delayAfter(1)
         val left = budget.spend()
         if (left != null) {
             budget = left
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
@@ -139,7 +139,7 @@
             }
         }
 
-        describe("repeats of rewards at a service that answers none") {
+        describe("repeats of rewards at a service that refuses all") {
             it("beyond a tenth of the first attempts and a burst of ten wait half a second or longer") {
                 checkAll(Arb.list(Arb.boolean(), 0..300)) { events ->
                     val queue = queue()
@@ -149,12 +149,22 @@
                         if (isFirst) {
                             first++
                             queue.firstAttempt()
-                        } else if (queue.repeatDelay(failures = 1) < 250.milliseconds) {
+                        } else if (queue.repeatDelay(failures = 1, RewardCallEnd.REFUSED) < 250.milliseconds) {
                             soon++
                         }
                     }
                     soon shouldBeLessThanOrEqualTo 10 + first / 10
-                    queue.repeatDelay(failures = 30) shouldBeLessThanOrEqualTo 2.seconds
+                    queue.repeatDelay(failures = 30, RewardCallEnd.REFUSED) shouldBeLessThanOrEqualTo 2.seconds
+                }
+            }
+        }
+
+        describe("repeats of rewards that failed otherwise, after refusals that spent the budget") {
+            it("wait no longer than the shortest backoff") {
+                checkAll(Arb.int(1..60)) { failures ->
+                    val queue = queue()
+                    repeat(20) { queue.repeatDelay(failures = 1, RewardCallEnd.REFUSED) }
+                    queue.repeatDelay(failures, RewardCallEnd.OTHER) shouldBeLessThanOrEqualTo 40.milliseconds
                 }
             }
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -70,7 +70,7 @@
                 if (errors >= route?.maxAttempts ?: 1) return RewardResult.AttemptsExhausted
             }
             failures++
-            val pause = lane?.repeatDelay(failures) ?: NO_ROUTE_DELAY
+            val pause = lane?.repeatDelay(failures, outcome?.let(::endOf) ?: RewardCallEnd.OTHER) ?: NO_ROUTE_DELAY
             val attributes = mapOf(
                 "errors" to "$errors",
                 "route" to route?.name.orEmpty(),
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardLane.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardLane.kt
@@ -58,8 +58,9 @@
     /** Counts the first attempt of a reward. */
     fun firstAttempt() = queue.firstAttempt()
 
-    /** Delay before the next attempt after [failures] failed ones. */
-    fun repeatDelay(failures: Int): Duration = queue.repeatDelay(failures).also { publish() }
+    /** Delay before the next attempt after [failures] failed ones, the last of which ended with [end]. */
+    fun repeatDelay(failures: Int, end: RewardCallEnd): Duration =
+        queue.repeatDelay(failures, end).also { publish() }
 
     private suspend fun awaitTurn(group: RewardGroup) {
         val ticket = Ticket(group)
