Open the window of rewards after five seconds without a refusal

Cause: the window stayed small after a shortage until answers had widened it one by one. Change: RewardQueue.poll makes it unlimited again after REOPENING_TIME. The new test in RewardQueueTest was not run red before the change.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
@@ -24,7 +24,8 @@
  * Reward calls of one instance to one service: a window of concurrent calls, and the order of those that wait for it.
  *
  * The window is unlimited until a call is refused. A refusal halves it and stops further calls for a backoff that
- * doubles with each refusal in a row; answers widen it again. Calls of groups that can still be in time come first,
+ * doubles with each refusal in a row; answers widen it again, and it is unlimited again after [REOPENING_TIME] without
+ * a refusal. Calls of groups that can still be in time come first,
  * fewest open items and nearest due time first; of [AGED_SHARE] calls one is the oldest, so that none starves.
  *
  * Mutable and not thread-safe: one coroutine owns it, or all calls are confined to one thread at a time.
@@ -36,7 +37,8 @@
     private val groupOf: (T) -> RewardGroup,
 ) {
     private val waiting = ArrayList<T>()
-    private var window = DispatchWindow(size = UNLIMITED, minSize = 1, maxSize = UNLIMITED, growthDivisor = 1)
+    private var window = Unlimited
+    private var refusedAt: Instant? = null
     private var budget = RetryBudget()
     private var refusalsInRow = 0
     private var started = 0L
@@ -68,6 +70,7 @@
 
     /** Takes the call that starts now; null if none waits or the window has no room. */
     public fun poll(now: Instant): T? {
+        reopen(now)
         if (waiting.isEmpty() || window.availableAttempts(running, now) == 0) return null
         val index = if (started % AGED_SHARE == AGED_SHARE - 1L) 0 else mostUrgent(now)
         started++
@@ -92,7 +95,16 @@
         return end == RewardCallEnd.REFUSED && window != before
     }
 
+    private fun reopen(now: Instant) {
+        val last = refusedAt ?: return
+        if (now - last < REOPENING_TIME) return
+        window = Unlimited
+        refusedAt = null
+        refusalsInRow = 0
+    }
+
     private fun refused(now: Instant) {
+        refusedAt = now
         val after = window.attemptRejected(now, windowBackoff.delayAfter(refusalsInRow + 1), running)
         if (after != window) refusalsInRow++
         window = after
@@ -139,6 +151,11 @@
         /** Of this many calls one is that which has waited longest. */
         public const val AGED_SHARE: Int = 8
         private const val UNLIMITED = 4096
+        private val Unlimited =
+            DispatchWindow(size = UNLIMITED, minSize = 1, maxSize = UNLIMITED, growthDivisor = 1)
+
+        /** Time without a refusal after which a former shortage says nothing about the room. */
+        public val REOPENING_TIME: Duration = 5.seconds
 
         /** Longest time for which an instance leaves a refusing service alone. */
         public val MAX_BACKOFF: Duration = 1.seconds
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
@@ -168,4 +168,15 @@
                 }
             }
         }
+
+        describe("a burst of rewards long after the last refusal of a former shortage") {
+            it("starts at once, and within that time it does not") {
+                checkAll(Arb.int(1001..9000)) { ms ->
+                    val queue = narrowed()
+                    repeat(50) { queue.offer(Call()) }
+                    val started = generateSequence { queue.poll(at(ms)) }.count()
+                    started shouldBe if (ms < RewardQueue.REOPENING_TIME.inWholeMilliseconds) 1 else 50
+                }
+            }
+        }
     })
