Keep the queue limit of a target with its observations

Cause: a refusal with free slots, as during a weight load, set a limit that was never corrected nor pruned. Change: TargetObservations.queueLimit, set by a refusal with all slots taken, raised by reports of more waiting. The new tests in TargetTrackerTest were not run red: the field is new.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -183,7 +183,6 @@
             }
             val elapsed = clock.now() - sentAt
             if (result !is Attempt.NotRun) request.markRunning(sentAt)
-            if (result is Attempt.NotRun && result.refused) room.refused(replica)
             if (result is Attempt.Answer) {
                 tracker.latencyObserved(replica, elapsed)
                 crashes.completed(request)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
@@ -9,7 +9,6 @@
 import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.delay
-import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -22,9 +21,6 @@
     private val clock: MonotonicClock,
     private val random: Random,
 ) {
-    /** Requests that waited at a target when it refused one; targets of former services stay, which are few. */
-    private val queueLimits = ConcurrentHashMap<TargetId, Int>()
-
     /** Waits until a target may have room for [request]; false if it should be refused. */
     suspend fun awaitRoom(request: LiveRequest): Boolean {
         val waitEnd = request.received + maxWait(request)
@@ -45,12 +41,6 @@
     private fun isKnown(replica: Replica): Boolean =
         tracker.of(replica).refusals == 0 || roomAt(replica).busy?.let { it < replica.slots } == true
 
-    /** Records that [replica] has just refused a request for lack of capacity. */
-    fun refused(replica: Replica) {
-        val load = tracker.of(replica).load ?: return
-        queueLimits[replica.id] = load.waiting
-    }
-
     /** Time after which the caller of [request] should come back. */
     fun retryAfter(request: LiveRequest): Duration {
         val usual = request.route.objective / RETRIES_IN_OBJECTIVE
@@ -76,7 +66,7 @@
         return TargetRoom(
             slots = replica.slots.coerceAtLeast(1),
             busy = load?.let { it.running + it.waiting },
-            queueLimit = queueLimits[replica.id],
+            queueLimit = known.queueLimit,
             backoffLeft = backoff.coerceAtLeast(Duration.ZERO),
             serviceTime = known.meanLatency,
         )
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
@@ -31,6 +31,8 @@
     public val failedAt: Instant? = null,
     /** Number of consecutive rejections for lack of capacity. */
     public val refusals: Int = 0,
+    /** Requests that waited when the target refused one with all slots taken; null if it reported none such. */
+    public val queueLimit: Int? = null,
     /** End of the backoff; null if there is none. */
     public val avoidUntil: Instant? = null,
     /** Latest weight version observed at the target, by model. */
@@ -72,11 +74,18 @@
             failures = 0,
             refusals = if (head.notRun) it.refusals else 0,
             avoidUntil = null,
+            queueLimit = it.queueLimitAfter(head),
             load = head.load ?: it.load,
             loadReportedAt = if (head.load != null) clock.now() else it.loadReportedAt,
         )
     }
 
+    private fun TargetObservations.queueLimitAfter(head: ResponseHead): Int? {
+        val reported = head.load ?: return queueLimit
+        if (head.notRun && reported.running >= reported.slots) return reported.waiting
+        return queueLimit?.let { maxOf(it, reported.waiting) }
+    }
+
     /** Records that [replica] serves [version] of [model]. */
     public fun versionObserved(replica: Replica, model: String, version: WeightVersion): Unit =
         versionObserved(replica.id, replica.startedAt, model, version)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/target/TargetTrackerTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/target/TargetTrackerTest.kt
@@ -36,4 +36,32 @@
                 tracker.of(replica).meanLatency!! shouldBeIn 48.9.milliseconds..49.1.milliseconds
             }
         }
+        describe("the requests that wait at a target when it refuses one for lack of capacity") {
+            fun TargetTracker.received(running: Int, waiting: Int, refused: Boolean) {
+                val load = TargetLoad(running, waiting, slots = 4)
+                val head = ResponseHead(if (refused) 503 else 200, null, null, refused, weights = null, load = load)
+                responseReceived(replica, head)
+            }
+            it("are known from a refusal with all slots taken, and corrected by reports of more") {
+                val tracker = TargetTracker(ManualClock())
+                tracker.received(running = 4, waiting = 9, refused = false)
+                tracker.of(replica).queueLimit shouldBe null
+                tracker.received(running = 4, waiting = 2, refused = true)
+                tracker.of(replica).queueLimit shouldBe 2
+                tracker.received(running = 4, waiting = 5, refused = false)
+                tracker.received(running = 4, waiting = 1, refused = false)
+                tracker.of(replica).queueLimit shouldBe 5
+            }
+            it("are unknown after a refusal with free slots, as during a weight load") {
+                val tracker = TargetTracker(ManualClock())
+                tracker.received(running = 0, waiting = 0, refused = true)
+                tracker.of(replica).queueLimit shouldBe null
+            }
+            it("are forgotten with the target") {
+                val tracker = TargetTracker(ManualClock())
+                tracker.received(running = 4, waiting = 2, refused = true)
+                tracker.retain(emptyList())
+                tracker.of(replica).queueLimit shouldBe null
+            }
+        }
     })
