Leave out work on room and groups that nothing needs

Cause: states of groups were computed when no item was due, the reason for no target for each call, all rooms of targets. Change: due items are filtered first, the reason is found at the end, the first target with room ends the search. No behaviour changes, so no test is new and no figure was measured.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -118,15 +118,12 @@
     /** Items of [view], a job on [route], that may be sent to an engine now. */
     fun waiting(view: JobView, route: CatalogRoute): List<WaitingItem> {
         val job = view.job ?: return emptyList()
+        val items = dueItems(view, job)
+        if (items.isEmpty()) return emptyList()
         val ranks = groups.getOrPut(job.id) { groupRanks(job, returnedGroups(job)) }
-        val now = clock.now()
         val dueAt = job.dueAt(route)
         val states = groupStates(progressOf(view, job, ranks), job.desiredGroups, wallClock(), dueAt)
-        return job.items.filter { item ->
-            val key = RunKey(job.id, item.id)
-            val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
-            due && isWaiting(view, key)
-        }.map { item ->
+        return items.map { item ->
             WaitingItem(
                 job = job.id,
                 item = item,
@@ -139,6 +136,14 @@
         }
     }
 
+    private fun dueItems(view: JobView, job: Job): List<JobItem> {
+        val now = clock.now()
+        return job.items.filter { item ->
+            val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
+            due && isWaiting(view, RunKey(job.id, item.id))
+        }
+    }
+
     private fun progressOf(view: JobView, job: Job, ranks: Map<String, Int>): List<GroupProgress> =
         job.items.groupBy { it.group }.map { (group, members) ->
             val waiting = members.filter { isWaiting(view, RunKey(job.id, it.id)) && !hasEvents(it) }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -86,7 +86,7 @@
         private var failure: LiveOutcome.Complete? = null
         private var serverErrors = 0
         private var refused = false
-        private var reason = chooser.reasonForNone(request)
+        private var reason: String? = null
 
         suspend fun run(): LiveOutcome {
             start()
@@ -100,7 +100,9 @@
                     hedgeDelay < left -> start()
                 }
             }
-            return failure ?: when {
+            failure?.let { return it }
+            val reason = reason ?: chooser.reasonForNone(request)
+            return when {
                 mayHaveRun > 0 -> LiveOutcome.Unknown(reason, timedOut = false)
                 else -> LiveOutcome.NotRun(reason, refused)
             }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
@@ -23,6 +23,7 @@
 ) {
     /** Waits until a target may have room for [request]; false if it should be refused. */
     suspend fun awaitRoom(request: LiveRequest): Boolean {
+        if (chooser.open(request).any { !roomAt(it).isFull }) return true // stops at the first, in nearly all calls
         val waitEnd = request.received + maxWait(request)
         while (true) {
             when (val decision = decideRoom(targets(request), waitEnd - clock.now(), random)) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/StreamForwarder.kt
@@ -85,7 +85,7 @@
         private var refusals = 0
         private var lastEventAt: Instant? = null
         private var failure: LiveOutcome.Complete? = null
-        private var reason = chooser.reasonForNone(request)
+        private var reason: String? = null
         private var connection: ConnectionUse? = null
 
         suspend fun run(): LiveOutcome {
@@ -94,6 +94,7 @@
                 val shouldRetry = replica != null && shouldRetry(attempt(replica))
             } while (shouldRetry)
             val errorResponse = failure
+            val reason = reason ?: chooser.reasonForNone(request)
             return when {
                 opened -> LiveOutcome.Streamed(lastId, complete, reason)
                 errorResponse != null -> errorResponse
