Treat items without a group as groups of their own

Cause: items without a group counted as one group that has to be complete together. Change: ItemTable keys groups by item id if the name is empty.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -62,9 +62,9 @@
 
     /** Group of the item of [task], whose job has [view]. */
     fun rewardGroup(task: SampleTask, view: JobView?): RewardGroup =
-        rewardGroups.getOrPut(task.job.id) { HashMap() }.getOrPut(task.item.group) {
+        rewardGroups.getOrPut(task.job.id) { HashMap() }.getOrPut(task.item.groupKey) {
             val left = (task.job.dueAt(task.route) - wallClock()).milliseconds
-            val members = task.job.items.filter { it.group == task.item.group }
+            val members = task.job.items.filter { it.groupKey == task.item.groupKey }
             RewardGroup(clock.now() + left, members.count { view?.positions?.containsKey(it.id) != true })
         }
 
@@ -74,7 +74,7 @@
         val key = RunKey(task.job.id, task.item.id)
         concluded[key] = recorded
         running.remove(key)
-        rewardGroups[task.job.id]?.get(task.item.group)?.let { it.openItems-- }
+        rewardGroups[task.job.id]?.get(task.item.groupKey)?.let { it.openItems-- }
     }
 
     /** Start times of the runs at each engine; engines without any are absent. */
@@ -131,7 +131,7 @@
                 priority = route.priority,
                 begun = hasEvents(item),
                 groupRank = ranks[item.group] ?: 0,
-                group = states[item.group] ?: GroupState.NEW,
+                group = states[item.groupKey] ?: GroupState.NEW,
             )
         }
     }
@@ -145,11 +145,11 @@
     }
 
     private fun progressOf(view: JobView, job: Job, ranks: Map<String, Int>): List<GroupProgress> =
-        job.items.groupBy { it.group }.map { (group, members) ->
+        job.items.groupBy { it.groupKey }.map { (group, members) ->
             val waiting = members.filter { isWaiting(view, RunKey(job.id, it.id)) && !hasEvents(it) }
             GroupProgress(
                 group = group,
-                rank = ranks[group] ?: 0,
+                rank = ranks[members.first().group] ?: 0,
                 isBegun = waiting.size < members.size,
                 left = waiting.maxOfOrNull(runTime::shortest) ?: Duration.ZERO,
             )
@@ -187,6 +187,9 @@
     }
 }
 
+/** Key of the group of an item in its job; an item without a group is one of its own. */
+private val JobItem.groupKey: String get() = group.ifEmpty { "\u0000${id.value}" }
+
 /** Time at which the results of a job on [route] are due, in Unix milliseconds. */
 internal fun Job.dueAt(route: CatalogRoute): Long =
     submittedAt + (route.jobObjective ?: route.timeout).inWholeMilliseconds
