Apply spotless to the mends of too little room

Cause: two files of the mends were not formatted as ktlint asks. Only the format differs; no test ran after it at this commit.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardLane.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardLane.kt
@@ -59,8 +59,7 @@
     fun firstAttempt() = queue.firstAttempt()
 
     /** Delay before the next attempt after [failures] failed ones, the last of which ended with [end]. */
-    fun repeatDelay(failures: Int, end: RewardCallEnd): Duration =
-        queue.repeatDelay(failures, end).also { publish() }
+    fun repeatDelay(failures: Int, end: RewardCallEnd): Duration = queue.repeatDelay(failures, end).also { publish() }
 
     private suspend fun awaitTurn(group: RewardGroup) {
         val ticket = Ticket(group)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/FullTargetsTest.kt
@@ -30,29 +30,28 @@
     kind: RequestKind = RequestKind.IDEMPOTENT,
     within: Duration = 3.seconds,
     exchange: ExchangeKind = ExchangeKind.LIVE,
-) =
-    LiveRequest(
-        id = "r1",
-        method = "POST",
-        uri = "/x",
+) = LiveRequest(
+    id = "r1",
+    method = "POST",
+    uri = "/x",
+    host = "h",
+    headers = Headers.Empty,
+    body = ByteArray(0),
+    route = CatalogRoute(
+        name = "r",
         host = "h",
-        headers = Headers.Empty,
-        body = ByteArray(0),
-        route = CatalogRoute(
-            name = "r",
-            host = "h",
-            pathPrefix = "/",
-            kind = kind,
-            services = listOf(ServiceShare("desk")),
-            timeout = 3.seconds,
-            objective = 1.seconds,
-            maxAttempts = 3,
-        ),
-        customer = null,
-        received = now,
-        deadline = now + within,
-        kind = exchange,
-    )
+        pathPrefix = "/",
+        kind = kind,
+        services = listOf(ServiceShare("desk")),
+        timeout = 3.seconds,
+        objective = 1.seconds,
+        maxAttempts = 3,
+    ),
+    customer = null,
+    received = now,
+    deadline = now + within,
+    kind = exchange,
+)
 
 class FullTargetsTest :
     DescribeSpec({
