--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -70,7 +70,7 @@
                 if (errors >= route?.maxAttempts ?: 1) return RewardResult.AttemptsExhausted
             }
             failures++
-            val pause = lane?.repeatDelay(failures) ?: NO_ROUTE_DELAY
+            val pause = lane?.repeatDelay(failures, outcome?.let(::endOf) ?: RewardCallEnd.OTHER) ?: NO_ROUTE_DELAY
             val attributes = mapOf(
                 "errors" to "$errors",
                 "route" to route?.name.orEmpty(),
@@ -91,7 +91,7 @@
 
     private fun endOf(outcome: LiveOutcome): RewardCallEnd = when (outcome) {
         is LiveOutcome.Complete -> RewardCallEnd.ANSWERED
-        is LiveOutcome.NotRun -> RewardCallEnd.REFUSED
+        is LiveOutcome.NotRun -> if (outcome.refused) RewardCallEnd.REFUSED else RewardCallEnd.OTHER
         is LiveOutcome.Streamed, is LiveOutcome.Unknown -> RewardCallEnd.OTHER
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -85,7 +85,8 @@
         private var mayHaveRun = 0
         private var failure: LiveOutcome.Complete? = null
         private var serverErrors = 0
-        private var reason = chooser.reasonForNone(request)
+        private var refused = false
+        private var reason: String? = null
 
         suspend fun run(): LiveOutcome {
             start()
@@ -99,8 +100,12 @@
                     hedgeDelay < left -> start()
                 }
             }
-            return failure
-                ?: if (mayHaveRun > 0) LiveOutcome.Unknown(reason, timedOut = false) else LiveOutcome.NotRun(reason)
+            failure?.let { return it }
+            val reason = reason ?: chooser.reasonForNone(request)
+            return when {
+                mayHaveRun > 0 -> LiveOutcome.Unknown(reason, timedOut = false)
+                else -> LiveOutcome.NotRun(reason, refused)
+            }
         }
 
         /** Waits for a result. Unlike a receive within a timeout, a select never drops one that it has received. */
@@ -123,7 +128,8 @@
 
                 is Attempt.NotRun -> {
                     reason = result.reason
-                    if (result.refused && !retries.permits(request, triedIds.size, clock.now())) return null
+                    refused = refused || result.refused
+                    if (result.refused && !mayGoOn()) return null
                 }
 
                 is Attempt.Unknown -> {
@@ -135,6 +141,10 @@
             return null
         }
 
+        /** True if a refused request goes to another target: within the budget, or to one known to have room. */
+        private fun mayGoOn(): Boolean =
+            retries.permits(request, triedIds.size, clock.now()) { room.isKnownBeyond(request, triedIds) }
+
         private fun hedgeDelay(): Duration = if (mayStart()) request.hedgeDelay else Duration.INFINITE
 
         /** True if the route, the time left and the attempts so far permit another attempt beside those in flight. */
@@ -175,7 +185,6 @@
             }
             val elapsed = clock.now() - sentAt
             if (result !is Attempt.NotRun) request.markRunning(sentAt)
-            if (result is Attempt.NotRun && result.refused) room.refused(replica)
             if (result is Attempt.Answer) {
                 tracker.latencyObserved(replica, elapsed)
                 crashes.completed(request)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRoom.kt
@@ -9,9 +9,9 @@
 import dev.vanillarun.hosted.target.ExchangeKind
 import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.delay
-import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import dev.vanillarun.core.overload.retryAfter as timeToReturn
 
 /** What this instance knows of the room at the targets of live calls, and what that means for a call. */
@@ -21,11 +21,9 @@
     private val clock: MonotonicClock,
     private val random: Random,
 ) {
-    /** Requests that waited at a target when it refused one; targets of former services stay, which are few. */
-    private val queueLimits = ConcurrentHashMap<TargetId, Int>()
-
     /** Waits until a target may have room for [request]; false if it should be refused. */
     suspend fun awaitRoom(request: LiveRequest): Boolean {
+        if (chooser.open(request).any { !roomAt(it).isFull }) return true // stops at the first, in nearly all calls
         val waitEnd = request.received + maxWait(request)
         while (true) {
             when (val decision = decideRoom(targets(request), waitEnd - clock.now(), random)) {
@@ -36,22 +34,24 @@
         }
     }
 
-    /** Records that [replica] has just refused a request for lack of capacity. */
-    fun refused(replica: Replica) {
-        val load = tracker.of(replica).load ?: return
-        queueLimits[replica.id] = load.waiting
+    /** True if a target of [request] outside [triedIds] is known to have room, by a report or as it refused nothing. */
+    fun isKnownBeyond(request: LiveRequest, triedIds: Set<TargetId>): Boolean = chooser.open(request).any {
+        it.id !in triedIds && tracker.usable(it) && isKnown(it) && !roomAt(it).isFull
     }
 
+    private fun isKnown(replica: Replica): Boolean =
+        tracker.of(replica).refusals == 0 || roomAt(replica).busy?.let { it < replica.slots } == true
+
     /** Time after which the caller of [request] should come back. */
     fun retryAfter(request: LiveRequest): Duration {
         val usual = request.route.objective / RETRIES_IN_OBJECTIVE
         return timeToReturn(targets(request), usual, request.deadline - clock.now())
     }
 
-    /** Rewards wait in a queue of their own, where the most urgent one goes first. */
     private fun maxWait(request: LiveRequest): Duration {
-        if (request.kind == ExchangeKind.REWARD) return Duration.ZERO
-        return minOf(request.route.objective, request.deadline - request.received) * WAIT_SHARE
+        val timeLeft = request.deadline - request.received
+        if (request.kind == ExchangeKind.REWARD) return minOf(MAX_REWARD_WAIT, timeLeft)
+        return minOf(request.route.objective, timeLeft) * WAIT_SHARE
     }
 
     private fun targets(request: LiveRequest): List<TargetRoom> = chooser.open(request).map(::roomAt)
@@ -67,7 +67,7 @@
         return TargetRoom(
             slots = replica.slots.coerceAtLeast(1),
             busy = load?.let { it.running + it.waiting },
-            queueLimit = queueLimits[replica.id],
+            queueLimit = known.queueLimit,
             backoffLeft = backoff.coerceAtLeast(Duration.ZERO),
             serviceTime = known.meanLatency,
         )
@@ -79,5 +79,8 @@
 
         /** Fraction of the objective for which a call may wait here; most of it has to be left for the answer. */
         const val WAIT_SHARE = 0.125
+
+        /** Rewards wait out the longest backoff after a refusal, which says nothing new about the room. */
+        val MAX_REWARD_WAIT = 300.milliseconds
     }
 }
