Count as failures of a target only what its connections say

Cause: a run that broke off after its head counted as answered, so that an engine that crashed in its stream doubled its limit; an invalid answer, a silent connection and a pooled connection that had closed before the send made a sound target cold. Change: the response keeps how its body ended: an end of the connection is a failure, a read that was cancelled says nothing. Breaks other than ends of connections are inconclusive; NotSent tells whether the target was out of reach, else the request counts as withheld. The two mends judge the same end of a request and come in one commit. Measured: the two new tests of PaceGateTest were red before (2 of 13 failed); with the mend both pass, as do LiveForwarderTest and DepartureBoardTest.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/KtorTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/KtorTargetClient.kt
@@ -38,7 +38,7 @@
         request: TargetRequest,
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
-        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
+        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard", unreachable = false)
         val statement = client.prepareRequest { fill(request) }
         var responseStarted = false
         return try {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyTargetClient.kt
@@ -70,7 +70,7 @@
         val message = try {
             message(request)
         } catch (e: IllegalArgumentException) {
-            return ExchangeResult.NotSent("the request cannot be sent: ${e.message}")
+            return ExchangeResult.NotSent("the request cannot be sent: ${e.message}", unreachable = false)
         }
         val uri = URI(request.url)
         val address = if (uri.isTls) "https://${uri.authority}" else "${uri.host}:${uri.port}"
@@ -98,8 +98,10 @@
         message: FullHttpRequest,
         handle: suspend (TargetResponse) -> T,
     ): ExchangeResult<T> {
-        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard")
-        if (!exchange.send(message, request.id)) return ExchangeResult.NotSent("the connection is closed")
+        if (!request.sendGuard.permits()) return ExchangeResult.NotSent("withheld by its guard", unreachable = false)
+        if (!exchange.send(message, request.id)) {
+            return ExchangeResult.NotSent("the connection is closed", unreachable = false)
+        }
         return when (val head = exchange.head()) {
             is HeadReadResult.Received ->
                 ExchangeResult.Answered(
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/TargetClient.kt
@@ -73,6 +73,8 @@
     public data class NotSent(
         /** Error as text, for events and logs. */
         public val reason: String,
+        /** True if no connection could be opened; false if this side did not send, which says nothing of the target. */
+        public val unreachable: Boolean = true,
     ) : ExchangeResult<Nothing>
 
     /** The exchange broke before a response started; the target may have run the request. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/OpenedResponse.kt
@@ -21,7 +21,11 @@
     public val headers: Headers get() = response.headers
 
     /** Body, still being received. */
-    public val body: ResponseBody get() = response.body
+    public val body: ResponseBody = ResponseBody { read() }
+
+    /** How the body stands for the target: answered unless a read of it broke off or was given up. */
+    internal var result: RequestResult = RequestResult.ANSWERED
+        private set
 
     /** Use of the connection that carries the response; null if unknown. */
     public val connection: ConnectionUse? get() = response.connection
@@ -38,6 +42,16 @@
         body.readFully(limit) { it <= SMALL_BODY_BYTES || reservation.grow(it) }
     }
 
+    private suspend fun read(): BodyPart {
+        result = RequestResult.INCONCLUSIVE // stays if the read is cancelled
+        val part = response.body.next()
+        result = if (part is BodyPart.End) part.result else RequestResult.ANSWERED
+        return part
+    }
+
+    private val BodyPart.End.result: RequestResult
+        get() = if (clean) RequestResult.ANSWERED else cause.result
+
     private companion object {
         /** Size up to which a body needs no reservation; longer ones compete for the buffers among themselves. */
         const val SMALL_BODY_BYTES = 64L * 1024
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
@@ -49,10 +49,10 @@
     /** The target declared that it did not run it. */
     REFUSED,
 
-    /** The target broke it off, or its connection is dead. */
+    /** The target could not be reached, or ended the connection before the response was complete. */
     FAILED,
 
-    /** Another target responded, the response is invalid, or this instance gave it up. */
+    /** Another target responded, the response is invalid, the connection is silent, or this instance gave it up. */
     INCONCLUSIVE,
 
     /** It was not sent and will not be. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGateway.kt
@@ -83,16 +83,17 @@
             },
             id = request.id,
         )
+        var opened: OpenedResponse? = null
         tracker.requestStarted(replica)
         try {
             val exchange = client.exchange(outgoing) { answer ->
                 val head = dialect.head(answer.status, answer.headers)
                 if (head.answers(request.id)) passage.responded(head)
-                validate(request, replica, OpenedResponse(head, answer, buffers), handle)
+                validate(request, replica, OpenedResponse(head, answer, buffers).also { opened = it }, handle)
             }
             val last = withheld
             val result = if (last == null) toResult(exchange, replica) else SendResult.NotRun(last.reason, false)
-            passage.end(if (last == null) requestResult(exchange) else RequestResult.WITHHELD)
+            passage.end(if (last == null) requestResult(exchange, opened) else RequestResult.WITHHELD)
             return result
         } finally {
             passage.end(RequestResult.INCONCLUSIVE)
@@ -148,14 +149,18 @@
             SendResult.Unknown("the connection is dead", BreakCause.CONNECTION_SILENT).also { tracker.failed(replica) }
     }
 
-    private fun requestResult(exchange: ExchangeResult<SendResult<*>>): RequestResult = when (exchange) {
+    private fun requestResult(exchange: ExchangeResult<SendResult<*>>, opened: OpenedResponse?) = when (exchange) {
         is ExchangeResult.Answered -> when (val result = exchange.value) {
-            is SendResult.Answered -> RequestResult.ANSWERED
+            is SendResult.Answered -> opened?.result ?: RequestResult.ANSWERED
             is SendResult.NotRun -> if (result.wrongTarget) RequestResult.INCONCLUSIVE else RequestResult.REFUSED
             is SendResult.Unknown -> RequestResult.INCONCLUSIVE
         }
 
-        is ExchangeResult.NotSent, is ExchangeResult.Broken, ExchangeResult.DeadConnection -> RequestResult.FAILED
+        is ExchangeResult.NotSent -> if (exchange.unreachable) RequestResult.FAILED else RequestResult.WITHHELD
+
+        is ExchangeResult.Broken -> exchange.cause.result
+
+        ExchangeResult.DeadConnection -> BreakCause.CONNECTION_SILENT.result
     }
 
     private fun note(refusal: SendResult.NotRun, replica: Replica) {
@@ -173,3 +178,7 @@
         val REFUSAL_BODY_TIMEOUT = 50.milliseconds
     }
 }
+
+/** What a request that broke off by this cause says about its target. */
+internal val BreakCause?.result: RequestResult
+    get() = if (this == BreakCause.CONNECTION_ENDED) RequestResult.FAILED else RequestResult.INCONCLUSIVE
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -3,6 +3,7 @@
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.job.SampleEvent
 import dev.vanillarun.daemon.target.BodyPart
+import dev.vanillarun.daemon.target.BreakCause
 import dev.vanillarun.daemon.target.ConnectionUse
 import dev.vanillarun.daemon.target.ExchangeResult
 import dev.vanillarun.daemon.target.ResponseBody
@@ -50,6 +51,12 @@
     /** Accepts the request and disconnects before a response. */
     data object Disconnect : Behaviour
 
+    /** Accepts the request and sends what is no HTTP response. */
+    data object Garbage : Behaviour
+
+    /** Its pooled connection is closed before the request is written. */
+    data object ClosedConnection : Behaviour
+
     /** Accepts the request and never responds. */
     data object Silence : Behaviour
 
@@ -118,6 +125,10 @@
 
         Behaviour.Disconnect -> ExchangeResult.Broken("broke off")
 
+        Behaviour.Garbage -> ExchangeResult.Broken("no response", cause = BreakCause.INVALID_ANSWER)
+
+        Behaviour.ClosedConnection -> ExchangeResult.NotSent("the connection is closed", unreachable = false)
+
         Behaviour.Silence -> awaitCancellation()
 
         Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
@@ -23,6 +23,7 @@
 import dev.vanillarun.hosted.target.RequestResult
 import dev.vanillarun.hosted.target.ResponseHead
 import dev.vanillarun.hosted.target.SendResult
+import dev.vanillarun.hosted.target.TargetGate
 import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetListing
@@ -33,6 +34,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,6 +57,14 @@
         wallClock = { NOW_MS + clock.now().nanos / 1_000_000 },
         events = NoOpEventRecorder,
     )
+    val results = mutableListOf<RequestResult>()
+    private val recorder = object : TargetGate {
+        override fun refusal(replica: Replica, request: GatedRequest) = null
+
+        override fun ended(replica: Replica, request: GatedRequest, end: RequestEnd) {
+            results += end.result
+        }
+    }
     private val tracker = TargetTracker(clock)
     val targets = FakeTargets()
     val gateway = TargetGateway(
@@ -61,7 +72,7 @@
         dialect = targets,
         tracker = tracker,
         departures = DepartureBoard(this, 2.seconds, clock, { NOW_MS }, NoOpEventRecorder),
-        gates = TargetGates(listOf(gate), clock),
+        gates = TargetGates(listOf(gate, recorder), clock),
     )
 
     init {
@@ -93,7 +104,7 @@
 
     override fun announcementAge(target: TargetId) = announcementAge
 
-    private val request = OutgoingRequest("r", "POST", "/", "h", Headers.Empty, ByteArray(0), null, null, priority = 0)
+    val request = OutgoingRequest("r", "POST", "/", "h", Headers.Empty, ByteArray(0), null, null, priority = 0)
 }
 
 private val route = CatalogRoute(
@@ -234,5 +245,32 @@
                 instance.send().shouldBeInstanceOf<SendResult.NotRun>()
                 instance.targets.requestedAddresses.size shouldBe 1
             }
+            // Load: engines that crash while they stream samples.
+            it("takes an answer that breaks off after its head for a failure, and one that is given up for neither") {
+                val instance = Instance()
+                instance.targets.behaviours["t:80"] = Behaviour.Endless(ByteArray(1), 1.seconds)
+                runTest {
+                    instance.gateway.send(instance.request, instance.warm) { answer ->
+                        withTimeoutOrNull(1500.milliseconds) { answer.readBody(100) }
+                    }
+                }
+                instance.results shouldBe listOf(RequestResult.INCONCLUSIVE)
+                instance.targets.behaviours["t:80"] = Behaviour.EventStream(breakAfter = 2)
+                instance.gateway.send(instance.request, instance.warm) { it.readBody(1000) }
+                instance.results.last() shouldBe RequestResult.FAILED
+                instance.owns = false
+                instance.send().shouldBeInstanceOf<SendResult.NotRun>()
+            }
+            // Load: any; the faults are those of links and of this side.
+            it("does not take an invalid answer or a connection that closed before the request for a failure") {
+                listOf(Behaviour.Garbage, Behaviour.ClosedConnection).forEach { behaviour ->
+                    val instance = Instance()
+                    instance.owns = false
+                    instance.targets.behaviours["t:80"] = behaviour
+                    instance.send()
+                    instance.targets.behaviours["t:80"] = Behaviour.Response()
+                    instance.send().shouldBeInstanceOf<SendResult.Answered<Unit>>()
+                }
+            }
         }
     })
