Keep a held answer until a whole one replaces it

Cause: the bytes of any head dropped an answer that was kept back as a possible copy. An interim response after it, or a head without its body, left the request waiting until its deadline; bytes that are no answer failed it as invalid. Change: only a sound final response replaces a held answer, and a failure only once it is whole or the time for copies has passed since its head. If the exchange fails meanwhile, the held answer is passed on, and its connection is not used again. An interim or malformed head is no longer reported as the successor of a copy. Measured: the three new cases of StrayAnswerTest were red before; it passes now with EndlessAnswersTest, JoinedHeadsTest, JoinedBodiesTest, JoinedHeadsLawTest and NettyTargetClientTest.

--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -53,6 +53,10 @@
     private var status = 0
     private var endsWithConnection = false
     private var held: HeldAnswer? = null
+
+    /** Whole response that was kept back before [held], until that one is whole as well. */
+    private var spare: HeldAnswer? = null
+    private var waits = 0
     private var headText = ""
     private var digest: MessageDigest? = null
 
@@ -82,6 +86,10 @@
     @Volatile
     private var excess: String? = null
 
+    /** True if more than the answer that was passed on has been received. */
+    @Volatile
+    private var isFollowed = false
+
     /** Idle timeout from the server's `Keep-Alive` header; null if it sent none. */
     @Volatile
     var idleTimeout: Duration? = null
@@ -118,7 +126,8 @@
      * connection open.
      */
     val isReusable: Boolean
-        get() = finished && consumed && keepAlive && excess == null && written?.isSuccess == true && channel.isActive
+        get() = finished && consumed && keepAlive && !isFollowed && excess == null &&
+            written?.isSuccess == true && channel.isActive
 
     /**
      * Sends [request] with [id] and routes what the channel receives to this exchange; false if the channel was closed
@@ -190,28 +199,39 @@
         idleTimeout = response.headers().get("Keep-Alive")?.let { TimeoutParameter.find(it) }
             ?.groupValues?.get(1)?.toIntOrNull()?.seconds
         val received = HeadReadResult.Received(status, headers.build())
-        if (earlier.isNotEmpty() && leadsToRepetition(status)) held = HeldAnswer(received)
-        if (held == null) head.complete(received)
+        val before = wholeAnswer
+        isFollowed = false
+        val mayBeCopy = earlier.isNotEmpty() && leadsToRepetition(status)
+        held = if (mayBeCopy) HeldAnswer(received) else null
+        spare = before.takeIf { mayBeCopy }
+        if (!mayBeCopy) head.complete(received)
+        spare?.let(::await)
     }
 
-    /** Takes the bytes of the head, [text], before the head itself; forgets a response that was kept back. */
+    /** Takes the bytes of the head, [text], before the head itself. */
     fun onHeadBytes(text: String) {
-        held = null
+        isFollowed = wholeAnswer != null
         excess = null
         statusLines = StatusLineSearch()
         headText = text
     }
 
+    private val wholeAnswer: HeldAnswer? get() = held?.takeIf { it.isWhole } ?: spare
+
     private fun pass(answer: HeldAnswer) {
+        // What followed a whole answer may go on, so that the connection is at no message boundary.
+        if (answer === spare) isFollowed = true
         held = null
+        spare = null
         head.complete(answer.head)
         answer.parts.forEach(::addPart)
         if (answer.isWhole) finish()
     }
 
-    /** Keeps [answer] back until another follows or [copyWait] has passed. */
+    /** Keeps [answer] back until another follows or [copyWait] has passed; only the last call counts. */
     private fun await(answer: HeldAnswer) {
-        val end = { if (held === answer) pass(answer) }
+        val wait = ++waits
+        val end = { if (wait == waits && wholeAnswer === answer) pass(answer) }
         channel.eventLoop().schedule(end, copyWait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
@@ -244,6 +264,7 @@
         identity = digest?.let { AnswerIdentity(status, HexFormat.of().formatHex(it.digest())) }
         val answer = held ?: return finish()
         answer.isWhole = true
+        spare = null
         if (identity?.mayBeCopy(earlier) == true) await(answer) else pass(answer)
     }
 
@@ -257,10 +278,16 @@
         excess = bytes
     }
 
-    /** Fails the exchange: a reader of the head or the body sees [reason] and [cause], unless it has failed before. */
+    /**
+     * Fails the exchange: a reader of the head or the body sees [reason] and [cause], unless it has failed before. A
+     * whole response that is kept back is passed on instead.
+     */
     fun fail(reason: String, cause: BreakCause) {
-        val answer = held
-        if (answer?.isWhole == true && cause == BreakCause.CONNECTION_ENDED) return pass(answer)
+        val answer = wholeAnswer
+        if (answer != null) {
+            isFollowed = true
+            return pass(answer)
+        }
         val broken = failure ?: HeadReadResult.Broken(reason, cause).also { failure = it }
         head.complete(broken)
         parts.close(IOException(reason))
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/ResponseDecoder.kt
@@ -54,7 +54,9 @@
             response.decoderResult = DecoderResult.failure(IllegalArgumentException("$fault"))
         }
         exchanges.current?.takeIf { it.isOpen }?.let { exchange ->
-            if (exchange.holdsWhole) exchanges.reportStray(context.channel(), StrayKind.REPEATED, "a copy of an answer")
+            val isFinal = response.status().codeClass() != HttpStatusClass.INFORMATIONAL
+            val replaces = exchange.holdsWhole && isFinal && response.decoderResult().isSuccess
+            if (replaces) exchanges.reportStray(context.channel(), StrayKind.REPEATED, "a copy of an answer")
             exchange.onHeadBytes(head.toString())
         }
         head.clear()
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.Headers
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -116,6 +117,21 @@
                     strays.shouldBeEmpty()
                 }
             }
+            // Held answers were dropped at any head: items waited for their deadlines, or failed for junk.
+            mapOf(
+                "an interim response" to "HTTP/1.1 100 Continue\r\n\r\n",
+                "bytes that are no answer" to "no answer\r\n\r\n",
+                "a head without its body" to "HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\n",
+            ).forEach { (what, bytes) ->
+                it("is the answer to it if only $what follows, and no exchange follows that") {
+                    with(listOf(failure + "x", failure + bytes, OK)) { exchange ->
+                        status(exchange) shouldBe 500
+                        withTimeoutOrNull(5.seconds) { status(exchange) } shouldBe 500
+                        exchange("two").shouldBeInstanceOf<ExchangeResult.Answered<Int>>()
+                        connections() shouldBe 3
+                    }
+                }
+            }
             it("is told from another failure, which is the answer whatever follows") {
                 with(listOf(failure, other + OK)) { exchange ->
                     status(exchange) shouldBe 500
