Let the last owner of a failed target probe it while the store is away

Cause: a failure makes a target count as cold until a response or a later announcement shows its state; the owner's grant lapses 1.5 s after the store went away, so an engine that broke once got nothing more until the store was back. Change: a target that is only failed, not known to be cold, gets one request at a time from the instance that owned its slot by the latest grant, within the owner's share.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/ColdState.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/ColdState.kt
@@ -14,7 +14,10 @@
     public val answeredAt: Instant? = null,
 ) {
     /** True if the target is cold at [now], or may be since it failed. */
-    public fun isCold(now: Instant): Boolean = failedAt != null || coldUntil?.let { now < it } ?: false
+    public fun isCold(now: Instant): Boolean = failedAt != null || isKnownCold(now)
+
+    /** True if the target is cold at [now] by what it said or by its start. */
+    public fun isKnownCold(now: Instant): Boolean = coldUntil?.let { now < it } ?: false
 
     /** Records that the target is cold until [until]; an earlier time changes nothing. */
     public fun coldUntil(until: Instant): ColdState = copy(coldUntil = maxOf(coldUntil ?: until, until))
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/PacedTarget.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/PacedTarget.kt
@@ -23,6 +23,8 @@
     public val isControl: Boolean,
     /** Time of the question. */
     public val now: Instant,
+    /** True if this instance owns the target by its latest grant, even a lapsed one; asked only after a failure. */
+    public val isLastOwner: () -> Boolean = { false },
 )
 
 /** Why the pace withholds a request. */
@@ -70,7 +72,7 @@
         val window = if (question.isControl) controls else requests
         val limit = allowance.share(isCold, question.isControl)
         return when {
-            isCold && !question.isControl && !question.isOwner() ->
+            isCold && !question.isControl && !mayProbe(question) ->
                 PaceRefusal(PaceCause.NOT_OWNER, cold.coldUntil.takeIf { cold.failedAt == null })
 
             window.used(question.now) >= limit ->
@@ -80,6 +82,10 @@
         }
     }
 
+    /** True for the owner; while the store is away, one request of the last one shows whether the target is back. */
+    private fun mayProbe(question: PaceQuestion): Boolean = question.isOwner() ||
+        (!cold.isKnownCold(question.now) && inFlight == 0 && question.isLastOwner())
+
     private fun paceRefusal(question: PaceQuestion): PaceRefusal? {
         val current = pace?.takeIf { question.rules.slowStart && !question.isControl } ?: return null
         val isAllowed = current.allows(inFlight, question.now)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -53,6 +53,7 @@
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.StreamForwarder
+import dev.vanillarun.hosted.pace.SlotOwnership
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.store.TopicPlatformLog
 import dev.vanillarun.hosted.store.storeBackoff
@@ -112,7 +113,7 @@
         catalog = catalog,
         replicas = replicas,
         tracker = tracker,
-        ownership = { slots.holds(placement.placement.value.models[it.id] ?: it.id.value) },
+        ownership = SlotOwnership({ slots }, { placement.placement.value.models[it.id] }),
         clock = clock,
         wallClock = wallClock,
         events = events,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
@@ -28,12 +28,6 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-/** Decides which instance may send requests to a cold target. */
-internal fun interface TargetOwnership {
-    /** True if this instance owns [replica], and for as long as the store gives it to no other. */
-    fun owns(replica: Replica): Boolean
-}
-
 /** Factors of the allowance of cold targets that the operator grants. */
 internal data class ColdGrant(
     /** Factor of the rate that a cold target bears. */
@@ -230,8 +224,13 @@
         events.record("target.pace", EventLinks(), attributes)
     }
 
-    private fun question(replica: Replica, request: GatedRequest, rules: PaceRules, now: Instant) =
-        PaceQuestion(rules, { ownership.owns(replica) }, request.isControl, now)
+    private fun question(replica: Replica, request: GatedRequest, rules: PaceRules, now: Instant) = PaceQuestion(
+        rules = rules,
+        isOwner = { ownership.owns(replica) },
+        isControl = request.isControl,
+        now = now,
+        isLastOwner = { ownership.ownsByLastGrant(replica) },
+    )
 
     private fun rules(replica: Replica): PaceRules {
         val coldStart = service(replica.service)?.coldStart
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/pace/PaceGateTest.kt
@@ -46,12 +46,17 @@
 private class Instance(private val coldStart: ColdStart? = ColdStart(3.seconds, 16.0)) : TargetListing {
     val clock = ManualClock()
     var owns = true
+    var ownsByLastGrant = false
     var announcementAge = 100.milliseconds
     val warm = replica()
     val gate = PaceGate(
         service = { CatalogService(it, coldStart = coldStart) },
         listing = this,
-        ownership = { owns },
+        ownership = object : TargetOwnership {
+            override fun owns(replica: Replica) = owns
+
+            override fun ownsByLastGrant(replica: Replica) = ownsByLastGrant
+        },
         grant = ColdGrant(over = 1.5, slack = 5.0),
         clock = clock,
         wallClock = { NOW_MS + clock.now().nanos / 1_000_000 },
@@ -196,6 +201,20 @@
                 instance.announcementAge = 100.milliseconds
                 (instance.sends(instance.warm) > 0) shouldBe true
             }
+            // Load: a queue of samples while the store is away.
+            it("gets one request at a time from its last owner once it failed, and a cold one gets none from it") {
+                val instance = Instance()
+                instance.owns = false
+                instance.ownsByLastGrant = true
+                instance.gate.unreachable(instance.warm)
+                instance.clock.advance(3.seconds)
+                instance.gate.enter(instance.warm, item) shouldBe null
+                instance.gate.enter(instance.warm, item).shouldNotBeNull()
+                instance.answer(instance.warm)
+                instance.gate.enter(instance.warm, item).shouldNotBeNull()
+                instance.clock.advance(3600.milliseconds)
+                instance.sends(instance.warm) shouldBe 12
+            }
             it("is one that comes back into the listing without having answered") {
                 val instance = Instance()
                 instance.owns = false
