Find the engine of a slow run also if its pace takes no more requests

Cause: findFaster looked the present engine up among those that the gates leave open, so runs on an engine in slow start, or with its share used up, were never moved away from it. Change: the present engine is found among the capable and usable ones; the gates apply to destinations.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -76,10 +76,9 @@
 
     /** Returns an engine that is fast enough to move a run of [task] there from [engine], or null if there is none. */
     fun findFaster(task: SampleTask, engine: TargetId, running: Map<TargetId, List<Instant>>): TargetId? {
-        val engines = listed(task).filter {
-            isCapable(it, task) && isUsable(it) && gates.refusal(it, task.gated) == null
-        }
-        val current = engines.find { it.id == engine } ?: return null
+        val usable = listed(task).filter { isCapable(it, task) && isUsable(it) }
+        val current = usable.find { it.id == engine } ?: return null
+        val engines = usable.filter { gates.refusal(it, task.gated) == null }
         val placed = engines.filter { isPlaced(it, task) }.map { view(it, task, running) }
         val profile = prompts.profile(task, engines)
         return relocation.fasterTarget(view(current, task, running), placed, selector, profile, clock.now())
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.job
 
 import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.ServiceShare
 import dev.vanillarun.core.id.TargetId
@@ -16,7 +17,11 @@
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.fake.ManualClock
 import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.GateRefusal
+import dev.vanillarun.hosted.target.GatedRequest
 import dev.vanillarun.hosted.target.ResponseHead
+import dev.vanillarun.hosted.target.TargetGate
+import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetLoad
 import dev.vanillarun.hosted.target.TargetTracker
 import io.kotest.core.spec.style.DescribeSpec
@@ -37,7 +42,14 @@
     }
     private val board = PlacementBoard(FakeTopicLog(), tracker, clock, NoOpEventRecorder)
     private val departures = DepartureBoard(replicas, 2.seconds, clock, { 0 }, NoOpEventRecorder)
-    val selector = EngineSelector(replicas, tracker, board, departures, clock)
+
+    /** Further requests that an engine may get; any number where there is no entry. */
+    val rooms = mutableMapOf<String, Int>()
+    private val gate = object : TargetGate {
+        override fun refusal(replica: Replica, request: GatedRequest) =
+            GateRefusal("no room").takeIf { rooms[replica.id.value] == 0 }
+    }
+    val selector = EngineSelector(replicas, tracker, board, departures, clock, TargetGates(listOf(gate)))
 
     fun place(vararg models: Pair<String, String>) {
         val placement = ModelPlacement(models.associate { (engine, model) -> TargetId(engine) to model })
@@ -128,6 +140,18 @@
                 engines(null).choose(mapOf("own" to 1), sample) shouldBe "other"
             }
         }
+        // Runs were never moved away from an engine in slow start.
+        describe("engines whose gate is closed") {
+            fun engines(closed: String) = Engines().apply {
+                observe("own", 120.milliseconds)
+                observe("other", 30.milliseconds)
+                rooms[closed] = 0
+            }
+            it("are left by runs that another engine would continue much faster, and get none") {
+                engines("own").selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe TargetId("other")
+                engines("other").selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe null
+            }
+        }
         describe("engines without a placement") {
             it("are all used, the fastest first") {
                 val all = Engines().apply {
