--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/reward/RewardQueue.kt
@@ -16,6 +16,9 @@
     /** The targets refused the call for lack of capacity. */
     REFUSED,
 
+    /** No target could get the call: none is known, or conditions withhold it from all. */
+    WITHHELD,
+
     /** Anything else: a failure, or the call was cancelled. */
     OTHER,
 }
@@ -89,7 +92,7 @@
 
             RewardCallEnd.REFUSED -> refused(now)
 
-            RewardCallEnd.OTHER -> Unit
+            RewardCallEnd.WITHHELD, RewardCallEnd.OTHER -> Unit
         }
         running--
         return end == RewardCallEnd.REFUSED && window != before
@@ -117,9 +120,10 @@
 
     /**
      * Delay before a call is offered again after [failures] failed attempts, the last of which ended with [end]; longer
-     * after a refusal beyond the budget of repeats.
+     * after a refusal beyond the budget of repeats, and growing while no target can get the call.
      */
     public fun repeatDelay(failures: Int, end: RewardCallEnd): Duration {
+        if (end == RewardCallEnd.WITHHELD) return repeatBackoff.delayAfter(failures)
         if (end != RewardCallEnd.REFUSED) return repeatBackoff.delayAfter(1)
         val left = budget.spend()
         if (left != null) {
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/reward/RewardQueueTest.kt
@@ -169,6 +169,15 @@
             }
         }
 
+        describe("repeats of rewards while all targets of their service are evacuated") {
+            it("come less and less often, and at least once a second") {
+                val queue = queue()
+                val delays = (1..12).map { queue.repeatDelay(it, RewardCallEnd.WITHHELD) }
+                (delays.last() > delays.first() * 5) shouldBe true
+                delays.forEach { it shouldBeLessThanOrEqualTo RewardQueue.MAX_BACKOFF }
+            }
+        }
+
         describe("a burst of rewards long after the last refusal of a former shortage") {
             it("starts at once, and within that time it does not") {
                 checkAll(Arb.int(1001..9000)) { ms ->
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -91,7 +91,7 @@
 
     private fun endOf(outcome: LiveOutcome): RewardCallEnd = when (outcome) {
         is LiveOutcome.Complete -> RewardCallEnd.ANSWERED
-        is LiveOutcome.NotRun -> if (outcome.refused) RewardCallEnd.REFUSED else RewardCallEnd.OTHER
+        is LiveOutcome.NotRun -> if (outcome.refused) RewardCallEnd.REFUSED else RewardCallEnd.WITHHELD
         is LiveOutcome.Streamed, is LiveOutcome.Unknown -> RewardCallEnd.OTHER
     }
 
