Take an item resumed after its last event for complete, and reserve the room of paced engines

Cause: an item whose last event had come, but not the end of its stream, was sent again after that event; engines answer with nothing and name no weight version then, which counted as version 0: not run. Change: an answer without a version to a resumed item is read to its end; events in it count as version 0. Gates tell the room that they leave, which the choice of an engine counts down. Pace events only at instances that send there.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/PacedTarget.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/pace/PacedTarget.kt
@@ -67,6 +67,17 @@
     public fun refusal(question: PaceQuestion): PaceRefusal? =
         question.rules.allowance?.let { allowanceRefusal(it, question) } ?: paceRefusal(question)
 
+    /** Returns how many further requests like that of [question] may be sent now; [Int.MAX_VALUE] without a limit. */
+    public fun room(question: PaceQuestion): Int {
+        if (refusal(question) != null) return 0
+        val window = if (question.isControl) controls else requests
+        val allowed = question.rules.allowance?.share(cold.isCold(question.now), question.isControl)
+            ?.minus(window.used(question.now))
+        val paced = pace?.takeIf { question.rules.slowStart && !question.isControl && !it.ended }
+            ?.let { it.limit - inFlight }
+        return minOf(allowed ?: Int.MAX_VALUE, paced ?: Int.MAX_VALUE)
+    }
+
     private fun allowanceRefusal(allowance: ColdAllowance, question: PaceQuestion): PaceRefusal? {
         val isCold = cold.isCold(question.now)
         val window = if (question.isControl) controls else requests
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/pace/TargetPaceTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/pace/TargetPaceTest.kt
@@ -44,6 +44,22 @@
                 TargetPace(8).answered(isSlow = false).answered(isSlow = true).answered(isSlow = false).limit shouldBe 3
             }
         }
+        // Load: several items are placed at one moment on a target in slow start.
+        it("has room for as many requests as pass one after the other") {
+            checkAll(Arb.int(2..16), Arb.int(0..20)) { slots, answers ->
+                var pace: TargetPace = TargetPace(slots)
+                repeat(answers) { pace = pace.answered(isSlow = true) }
+                val question = PaceQuestion(PaceRules(slowStart = true), { true }, isControl = false, start)
+                var target = PacedTarget(startedAt = 1).paced(pace)
+                val room = minOf(target.room(question), slots + 1)
+                var sent = 0
+                while (sent <= slots && target.refusal(question) == null) {
+                    target = target.permitted(isControl = false, start)
+                    sent++
+                }
+                sent shouldBe room
+            }
+        }
         // Load: a target that is overloaded or broken, before a queue that never ends.
         describe("a target that refuses everything") {
             it("gets one probe at a time, and at most a stated number of them") {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -79,7 +79,8 @@
         val usable = listed(task).filter { isCapable(it, task) && isUsable(it) }
         val current = usable.find { it.id == engine } ?: return null
         val engines = usable.filter { gates.refusal(it, task.gated) == null }
-        val placed = engines.filter { isPlaced(it, task) }.map { view(it, task, running) }
+        val placed = engines.filter { isPlaced(it, task) && isPermitted(it, task, running) }
+            .map { view(it, task, running) }
         val profile = prompts.profile(task, engines)
         return relocation.fasterTarget(view(current, task, running), placed, selector, profile, clock.now())
     }
@@ -87,7 +88,8 @@
     /** Engines that the model is not placed on are used only while the placed ones are full. */
     private fun select(engines: List<Replica>, task: SampleTask, running: Map<TargetId, List<Instant>>): TargetId? {
         val views = engines.map { view(it, task, running) }
-        val (free, full) = views.partition { it.stats.inFlight < it.concurrency }
+        val permitted = engines.filter { isPermitted(it, task, running) }.mapTo(HashSet()) { it.id }
+        val (free, full) = views.partition { it.id in permitted && it.stats.inFlight < it.concurrency }
         val placed = engines.filter { isPlaced(it, task) }.mapTo(HashSet()) { it.id }
         val others = if (free.any { it.id in placed }) views.filter { it.id !in placed } else emptyList()
         val excluded = (full + others).mapTo(HashSet()) { it.id }
@@ -120,6 +122,7 @@
         val now = clock.now()
         return engines.filterNot(departures::isDeparting)
             .filter { engine -> tracker.of(engine).failedAt?.let { now - it >= PROBE_INTERVAL } ?: false }
+            .filter { engine -> isPermitted(engine, task, running) }
             .filter { engine -> view(engine, task, running).let { it.stats.inFlight < it.concurrency } }
             .minByOrNull { engine -> tracker.of(engine).failedAt ?: now }
     }
@@ -130,6 +133,12 @@
         return tracker.view(engine, inFlight = runs.size, work = task.outputTokens.coerceAtLeast(1), slots = slots)
     }
 
+    /** True if the gates permit one more run at [engine]; runs that are chosen but not yet sent use up their room. */
+    private fun isPermitted(engine: Replica, task: SampleTask, running: Map<TargetId, List<Instant>>): Boolean {
+        val room = gates.room(engine, task.gated)
+        return room == Int.MAX_VALUE || running[engine.id].orEmpty().size < tracker.of(engine).running + room
+    }
+
     /** Leaves one slot free unless a run began after the failure; runs from before it may go on for long. */
     private fun slotsAfterFailure(engine: Replica, runs: List<Instant>): Int {
         val failedAt = tracker.of(engine).failedAt ?: return 1
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -101,10 +101,16 @@
                 UNPROCESSABLE -> return RunOutcome.Unprocessable
                 else -> return RunOutcome.Interrupted(transcript, "status ${answer.head.status}")
             }
-            val weights = answer.head.weights ?: 0
-            if (task.job.model.isNotEmpty()) tracker.versionObserved(replica, task.job.model, WeightVersion(weights))
-            if (weights < task.job.minVersion) return RunOutcome.NotRun("the engine serves version $weights")
-            transcript = transcript.resumedUnder(weights)
+            val weights = answer.head.weights
+            if (weights != null && task.job.model.isNotEmpty()) {
+                tracker.versionObserved(replica, task.job.model, WeightVersion(weights))
+            }
+            // An engine that is asked to go on after the last event generates nothing, and names no version.
+            val mayBeEmpty = weights == null && transcript.lastEventNumber > 0
+            if ((weights ?: 0) < task.job.minVersion && !mayBeEmpty) {
+                return RunOutcome.NotRun("the engine serves version ${weights ?: "unknown"}")
+            }
+            transcript = transcript.resumedUnder(weights ?: 0)
             return events(answer, activity)
         }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PaceGate.kt
@@ -182,7 +182,7 @@
                 }
             },
         )
-        if (rules.isLimited) report(replica, phase(observed, rules, now))
+        if (rules.isLimited) report(replica, observed.phase(rules, now))
         return observed
     }
 
@@ -206,15 +206,9 @@
             .let { if (isYoung) it.coldUntil(now + minOf(rules.coldDuration + ClockMargin - age, usualEnd)) else it }
     }
 
-    private fun phase(target: PacedTarget, rules: PaceRules, now: Instant): PacePhase = when {
-        rules.allowance != null && target.cold.isCold(now) -> PacePhase.COLD
-        rules.slowStart && target.pace != null -> PacePhase.WARMING
-        else -> PacePhase.ENDED
-    }
-
     private fun report(replica: Replica, phase: PacePhase) {
         val before = phases.put(replica.id, phase) ?: PacePhase.ENDED
-        if (before == phase) return
+        if (before == phase || !isConcerned(replica)) return
         val attributes = mapOf(
             "target" to replica.id.value,
             "service" to replica.service,
@@ -224,6 +218,10 @@
         events.record("target.pace", EventLinks(), attributes)
     }
 
+    /** True if this instance sends to [replica]; the events of all instances about all targets would be too many. */
+    private fun isConcerned(replica: Replica): Boolean =
+        ownership.owns(replica) || targets[replica.id]?.let { it.inFlight > 0 || it.cold.answeredAt != null } ?: false
+
     private fun question(replica: Replica, request: GatedRequest, rules: PaceRules, now: Instant) = PaceQuestion(
         rules = rules,
         isOwner = { ownership.owns(replica) },
@@ -249,6 +247,13 @@
 
     private val GatedRequest.isControl: Boolean get() = kind == ExchangeKind.STATUS || kind == ExchangeKind.ORDER
 
+    override fun room(replica: Replica, request: GatedRequest): Int {
+        val rules = rules(replica)
+        val now = clock.now()
+        if (!rules.isLimited) return Int.MAX_VALUE
+        return observe(replica, rules, now).room(question(replica, request, rules, now))
+    }
+
     private companion object {
         val NoColdStart = PaceRules()
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PacePhase.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/pace/PacePhase.kt
@@ -1,5 +1,8 @@
 package dev.vanillarun.hosted.pace
 
+import dev.vanillarun.core.pace.PaceRules
+import dev.vanillarun.core.pace.PacedTarget
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
@@ -16,6 +19,13 @@
     ENDED,
 }
 
+/** What limits the requests to this target under [rules] at [now]. */
+internal fun PacedTarget.phase(rules: PaceRules, now: Instant): PacePhase = when {
+    rules.allowance != null && cold.isCold(now) -> PacePhase.COLD
+    rules.slowStart && pace != null -> PacePhase.WARMING
+    else -> PacePhase.ENDED
+}
+
 /** Moving average of the time to the head of a response, by service. */
 internal class UsualLatency {
     private val means = ConcurrentHashMap<String, Duration>()
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetGate.kt
@@ -28,6 +28,9 @@
     /** Returns why [replica] gets no [request] now, null if it may; asked for each candidate, without effect. */
     public fun refusal(replica: Replica, request: GatedRequest): GateRefusal?
 
+    /** Returns how many further requests like [request] may be sent to [replica] now if [refusal] returns null. */
+    public fun room(replica: Replica, request: GatedRequest): Int = Int.MAX_VALUE
+
     /** Asked once, immediately before [request] is sent to [replica]; a gate that limits a rate counts it here. */
     public fun enter(replica: Replica, request: GatedRequest): GateRefusal? = refusal(replica, request)
 
@@ -78,6 +81,10 @@
     public fun refusal(replica: Replica, request: GatedRequest): GateRefusal? =
         gates.firstNotNullOfOrNull { it.refusal(replica, request) }
 
+    /** Returns how many further requests like [request] all gates let pass to [replica] now, see [TargetGate.room]. */
+    public fun room(replica: Replica, request: GatedRequest): Int =
+        gates.minOfOrNull { it.room(replica, request) } ?: Int.MAX_VALUE
+
     /** Passes all gates with [request], which is sent to [replica] at once, or returns why it must not be. */
     public fun enter(replica: Replica, request: GatedRequest): GateRefusal? {
         val refusal = refusal(replica, request)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/EngineSelectorTest.kt
@@ -48,6 +48,8 @@
     private val gate = object : TargetGate {
         override fun refusal(replica: Replica, request: GatedRequest) =
             GateRefusal("no room").takeIf { rooms[replica.id.value] == 0 }
+
+        override fun room(replica: Replica, request: GatedRequest) = rooms[replica.id.value] ?: Int.MAX_VALUE
     }
     val selector = EngineSelector(replicas, tracker, board, departures, clock, TargetGates(listOf(gate)))
 
@@ -63,6 +65,8 @@
         tracker.responseReceived(replica(engine), head)
     }
 
+    fun send(engine: String) = tracker.requestStarted(replica(engine))
+
     fun dispatch(engine: String, task: SampleTask = task()) = selector.dispatched(task, replica(engine))
 
     private fun replica(engine: String) = replicas.replicas.value.getValue(TargetId(engine))
@@ -152,6 +156,23 @@
                 engines("other").selector.findFaster(task(), TargetId("own"), emptyMap()) shouldBe null
             }
         }
+        // A round of choices sent six items to an engine whose pace allowed one; five were withheld and backed off.
+        describe("an engine whose gate lets few further requests pass") {
+            fun engines() = Engines().apply {
+                observe("own", 60.milliseconds)
+                observe("other", 20.milliseconds)
+                rooms["other"] = 1
+            }
+            it("is chosen for as many, also before they are sent") {
+                engines().choose() shouldBe "other"
+                engines().choose(mapOf("other" to 1)) shouldBe "own"
+            }
+            it("is chosen for as many beside those that it runs") {
+                val busy = engines().apply { repeat(2) { send("other") } }
+                busy.choose(mapOf("other" to 2)) shouldBe "other"
+                busy.choose(mapOf("other" to 3)) shouldBe "own"
+            }
+        }
         describe("engines without a placement") {
             it("are all used, the fastest first") {
                 val all = Engines().apply {
--- /dev/null
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SampleRunnerTest.kt
@@ -0,0 +1,78 @@
+package dev.vanillarun.hosted.job
+
+import dev.vanillarun.core.catalog.CatalogRoute
+import dev.vanillarun.core.catalog.Replica
+import dev.vanillarun.core.catalog.RequestKind
+import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.id.TargetId
+import dev.vanillarun.core.id.WeightVersion
+import dev.vanillarun.core.job.ItemId
+import dev.vanillarun.core.job.Job
+import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.JobItem
+import dev.vanillarun.core.job.Transcript
+import dev.vanillarun.core.timeline.NoOpEventRecorder
+import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.fake.Behaviour
+import dev.vanillarun.hosted.fake.FakeCodec
+import dev.vanillarun.hosted.fake.FakeTargets
+import dev.vanillarun.hosted.fake.FakeTopicLog
+import dev.vanillarun.hosted.fake.ManualClock
+import dev.vanillarun.hosted.target.DepartureBoard
+import dev.vanillarun.hosted.target.TargetGateway
+import dev.vanillarun.hosted.target.TargetTracker
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlin.time.Duration.Companion.seconds
+
+private const val MODEL = "m"
+private const val EVENTS = 3L
+
+/** An engine that names no weight version in its responses, and a text of [received] events under version 2. */
+private class Resumption(received: Int) {
+    private val clock = ManualClock()
+    private val targets = FakeTargets().apply { behaviours["e:80"] = Behaviour.EventStream(EVENTS) }
+    private val engine = Replica(TargetId("e"), "engines", "e:80", DataCentre("z"), slots = 1)
+    private val before = Transcript(
+        eventData = persistentListOf("a", "b", "c").subList(0, received).let { persistentListOf<String>().addAll(it) },
+        versions = if (received == 0) persistentSetOf() else persistentSetOf(2L),
+        currentVersion = 2,
+    )
+    val tracker = TargetTracker(clock).apply { versionObserved(engine, MODEL, WeightVersion(2)) }
+    val observedVersion: Long get() = tracker.weights(engine, MODEL)
+
+    suspend fun run(): RunOutcome {
+        val replicas = ReplicaSource(FakeTopicLog(), FakeCodec, clock, NoOpEventRecorder)
+        val departures = DepartureBoard(replicas, 2.seconds, clock, { 0 }, NoOpEventRecorder)
+        val gateway = TargetGateway(targets, targets, tracker, departures)
+        val item = JobItem(ItemId("i"), "/gen/x")
+        val job = Job(JobId("j"), null, "h", "/gen/", 0, model = MODEL, minVersion = 2, items = listOf(item))
+        val services = listOf(ServiceShare("engines"))
+        val route = CatalogRoute("r", "h", "/gen/", RequestKind.ROLLOUT, services, 10.seconds, 1.seconds)
+        return SampleRunner(gateway, targets, tracker, clock).run(SampleTask(job, item, route), engine, before)
+    }
+}
+
+class SampleRunnerTest :
+    DescribeSpec({
+        // Items whose last event had come, but not the end of their stream, were sent in vain up to 113 times.
+        describe("an item that is resumed after its last event, at an engine that names no version then") {
+            it("is complete, with the versions of its events") {
+                val resumption = Resumption(received = EVENTS.toInt())
+                val outcome = resumption.run().shouldBeInstanceOf<RunOutcome.Complete>()
+                outcome.transcript.lastEventNumber shouldBe EVENTS
+                outcome.transcript.versions shouldBe setOf(2L)
+                resumption.observedVersion shouldBe 2
+            }
+        }
+        describe("an engine that generates events and names no version") {
+            it("gives none to an item that needs a newer one, neither from its beginning nor resumed") {
+                Resumption(received = 0).run().shouldBeInstanceOf<RunOutcome.NotRun>()
+                Resumption(received = 1).run().shouldBeInstanceOf<RunOutcome.Incompatible>()
+            }
+        }
+    })
