--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/StrayAnswerTest.kt
@@ -20,7 +20,7 @@
 
 class StrayAnswerTest :
     DescribeSpec({
-        val strays = CopyOnWriteArrayList<StrayAnswer>()
+        var strays = CopyOnWriteArrayList<StrayAnswer>()
 
         var connections = { 0 }
 
@@ -30,9 +30,11 @@
             test: suspend (suspend (String) -> ExchangeResult<Int>) -> Unit,
         ) {
             val left = AtomicReference(answers)
-            strays.clear()
+            // Each case has a list of its own: the client of the case before may still report what it received.
+            val own = CopyOnWriteArrayList<StrayAnswer>()
+            strays = own
             NettyTargetClient().use { client ->
-                client.onStrayAnswer { strays += it }
+                client.onStrayAnswer { own += it }
                 val respond: Socket.(String) -> Unit = {
                     onRequest(this)
                     send(left.getAndUpdate { it.drop(1) }.first())
