Name the whole delay of a debt, and write all properties of a step

A caller whose customer owed more than an hour of its rate was told to come back after an hour, and was then limited again: the delay was capped. It is now the time after which the request is granted; only a rate of zero, which never refills, names an hour.

The record of a step left out the properties that have their default, so that two builds with other defaults would have read another step.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/limit/TokenBucket.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/limit/TokenBucket.kt
@@ -15,7 +15,7 @@
 
     /** The bucket has too few tokens and is unchanged. */
     public data class Limited(
-        /** Time after which the same request succeeds if no other tokens are taken, capped at one hour. */
+        /** Time after which the same request succeeds if no other tokens are taken; an hour if none are refilled. */
         public val retryAfter: Duration,
     ) : RateDecision
 }
@@ -52,8 +52,8 @@
         ) {
             return RateDecision.Granted(current.copy(level = current.level - amount))
         }
-        if (perSecond <= 0.0) return RateDecision.Limited(LONGEST_WAIT)
-        return RateDecision.Limited(((needed - current.level) / perSecond).seconds.coerceAtMost(LONGEST_WAIT))
+        if (perSecond <= 0.0) return RateDecision.Limited(WAIT_WITHOUT_REFILL)
+        return RateDecision.Limited(((needed - current.level) / perSecond).seconds)
     }
 
     /**
@@ -80,6 +80,8 @@
     private companion object {
         /** Tolerance for floating-point rounding, in tokens. */
         const val ROUNDING = 1e-9
-        val LONGEST_WAIT = 3600.seconds
+
+        /** Time until a caller asks again whether its customer has a rate by then. */
+        val WAIT_WITHOUT_REFILL = 3600.seconds
     }
 }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/log/RecordWriter.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/log/RecordWriter.kt
@@ -21,7 +21,4 @@
      */
     public fun envelope(body: RecordBody): Envelope =
         Envelope(RecordId(writer, incarnation, sequence.getAndIncrement()), body)
-
-    /** True if [id] belongs to this run of this writer. */
-    public fun owns(id: RecordId): Boolean = id.writer == writer && id.incarnation == incarnation
 }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/sample/StepLogState.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/sample/StepLogState.kt
@@ -48,9 +48,12 @@
 
 /** JSON form of a step, used for submissions and in the log. */
 public object StepSpecCodec {
-    private val json = Json { ignoreUnknownKeys = true }
+    private val json = Json {
+        ignoreUnknownKeys = true
+        encodeDefaults = true
+    }
 
-    /** Encodes [spec] as JSON; properties with their default value are omitted. */
+    /** Encodes [spec] as JSON with all properties, so that a build with other defaults reads the same step. */
     public fun encode(spec: StepSpec): String = json.encodeToString(StepSpec.serializer(), spec)
 
     /** Decodes [text]; null if it is not valid JSON of a step. Unknown properties are ignored. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/limit/LimitTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/limit/LimitTest.kt
@@ -34,9 +34,10 @@
                     }
                 }
             }
-            it("returns the delay after which the request is granted") {
-                checkAll(Arb.long(1L..100L)) { amount ->
-                    val empty = TokenBucket(perSecond = 10.0, burst = 20.0, level = 0.0, at = Instant(0))
+            // A debt of more than an hour guards against callers that come back too early, for a second refusal.
+            it("returns the delay after which the request is granted, however large the debt") {
+                checkAll(Arb.long(1L..100L), Arb.long(-100_000L..0L)) { amount, debt ->
+                    val empty = TokenBucket(perSecond = 10.0, burst = 20.0, level = debt.toDouble(), at = Instant(0))
                     val wait = empty.take(amount, Instant(0)).shouldBeInstanceOf<RateDecision.Limited>().retryAfter
                     val early = Instant(0) + wait - 1.milliseconds
                     empty.take(amount, early).shouldBeInstanceOf<RateDecision.Limited>()
