Evacuate a data centre by a command

Operators of a deployment with a configuration of its own could not empty a data centre. `vanillarun evacuate` publishes the order as a change of the configuration, so that conflicts, history, retention and the wait until it binds everywhere are those of any change; `--end` takes it back, `publish` keeps it, `status` shows it. Targets there count as leaving: calls in progress end, no new ones are sent, and the instances there order none.

ConfigDocumentTest told configuration from settings by "[]" in the key; it now goes by the section of the page, and compares as before.

EvacuateCommandTest, PoolDemandTest, ConfigPatchTest, ConfigDiff.

--- a/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/config/ConfigCollector.kt
+++ b/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/config/ConfigCollector.kt
@@ -96,5 +96,6 @@
         targets = targets + other.targets,
         priorities = priorities + other.priorities,
         spending = spending + other.spending,
+        evacuated = evacuated + other.evacuated,
     )
 }
--- a/vanillarun-adapters/src/test/kotlin/dev/vanillarun/adapters/config/ConfigDocumentTest.kt
+++ b/vanillarun-adapters/src/test/kotlin/dev/vanillarun/adapters/config/ConfigDocumentTest.kt
@@ -102,10 +102,11 @@
 
 class ConfigDocumentTest :
     DescribeSpec({
-        val rows = Files.readAllLines(Path.of("..", "docs", "CONFIG.md"))
-            .filter { it.startsWith("| `") }
-            .map { line -> DocumentRow(line.trim('|', ' ').split("|").map(String::trim)) }
-        val (config, settings) = rows.partition { "[]" in it.key }
+        val page = Files.readAllLines(Path.of("..", "docs", "CONFIG.md"))
+        val (settings, config) = page.indexOf("## Configuration").let { listOf(page.take(it), page.drop(it)) }
+            .map { section -> section.filter { it.startsWith("| `") } }
+            .map { lines -> lines.map { DocumentRow(it.trim('|', ' ').split("|").map(String::trim)) } }
+        val rows = settings + config
 
         it("lists every key of the settings with its type and default") {
             val collector = KeyCollector(defaults(DaemonSettings.serializer(), DaemonSettings("a", "b", "c")))
--- a/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/CliMain.kt
+++ b/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/CliMain.kt
@@ -6,6 +6,7 @@
 import dev.vanillarun.cli.command.Command
 import dev.vanillarun.cli.command.DiffCommand
 import dev.vanillarun.cli.command.DrainCommand
+import dev.vanillarun.cli.command.EvacuateCommand
 import dev.vanillarun.cli.command.HistoryCommand
 import dev.vanillarun.cli.command.KeyCommand
 import dev.vanillarun.cli.command.PublishCommand
@@ -47,6 +48,7 @@
     HistoryCommand(),
     KeyCommand(),
     DrainCommand(),
+    EvacuateCommand(),
     TimelineCommand(),
     TargetsCommand(),
     UsageCommand(),
--- a/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/command/PublishCommand.kt
+++ b/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/command/PublishCommand.kt
@@ -51,7 +51,7 @@
 /** What came of it; [offset] is the position of the new publication, if there is one. */
 internal data class PublishAnswer(val answer: Answer, val offset: Long? = null)
 
-/** Collects, checks, compares and publishes. */
+/** Collects, checks, compares and publishes. Evacuations in force stay: they are orders, and no part of the files. */
 internal suspend fun publish(deployment: Deployment, request: PublishRequest): PublishAnswer {
     val config = when (val outcome = ConfigCollector.collect(request.paths)) {
         is ReadOutcome.Rejected -> return PublishAnswer(problemAnswer(outcome.problems))
@@ -63,13 +63,20 @@
 
         is CurrentConfig.Unanchored -> PublishAnswer(unavailable(UNANCHORED))
 
-        is CurrentConfig.Known -> publish(deployment, request, current, config)
+        is CurrentConfig.Known -> {
+            val kept = current.inForce?.config?.evacuated.orEmpty()
+                .filter { dataCentre -> config.targets.any { it.dataCentre == dataCentre } }
+            val whole = config.copy(evacuated = (config.evacuated + kept).distinct())
+            publish(deployment, request.author, request.message, current, whole)
+        }
     }
 }
 
-private suspend fun publish(
+/** Publishes [config] in place of [current], unless nothing has changed. */
+internal suspend fun publish(
     deployment: Deployment,
-    request: PublishRequest,
+    author: String,
+    message: String,
     current: CurrentConfig.Known,
     config: RolloutConfig,
 ): PublishAnswer {
@@ -78,7 +85,7 @@
         val json = PublishJson("unchanged", current.offset(), changes)
         return PublishAnswer(json.answer(ExitCode.OK, "already in force since ${json.offset}"), json.offset)
     }
-    return when (val outcome = deployment.publisher.publish(current, config, request.author, request.message)) {
+    return when (val outcome = deployment.publisher.publish(current, config, author, message)) {
         is PublishOutcome.Published -> {
             val json = PublishJson("published", outcome.offset.value, changes)
             PublishAnswer(json.answer(ExitCode.OK, "published at ${json.offset}"), json.offset)
--- a/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/command/StatusCommand.kt
+++ b/vanillarun-cli/src/main/kotlin/dev/vanillarun/cli/command/StatusCommand.kt
@@ -55,6 +55,7 @@
         configOffset = wanted,
         author = (current as? CurrentConfig.Known)?.inForce?.author,
         message = (current as? CurrentConfig.Known)?.inForce?.message,
+        evacuated = (current as? CurrentConfig.Known)?.inForce?.config?.evacuated.orEmpty().map { it.name },
         listAgeMs = listing.age.inWholeMilliseconds,
         instances = rows,
         duties = duties(deployment),
@@ -72,6 +73,7 @@
     @SerialName("config_offset") val configOffset: Long?,
     val author: String?,
     val message: String?,
+    val evacuated: List<String>,
     @SerialName("list_age_ms") val listAgeMs: Long,
     val instances: List<InstanceRow>,
     val duties: List<DutyRow>,
@@ -82,7 +84,9 @@
             -1L -> "configuration in force: none; publish one with `vanillarun publish`"
             else -> "configuration in force: $configOffset by $author, \"$message\""
         }
-        return listOf(head, "list of instances: $listAgeMs ms old") + instanceTable(instances) + dutyTable(duties)
+        val evacuations = evacuated.map { "evacuated: $it; end it with `vanillarun evacuate $it --end`" }
+        return listOf(head) + evacuations + "list of instances: $listAgeMs ms old" + instanceTable(instances) +
+            dutyTable(duties)
     }
 }
 
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigDiff.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigDiff.kt
@@ -69,6 +69,7 @@
         config.spending.forEach {
             put("spending on ${it.route} in ${it.dataCentre}", toJson(SpendingRule.serializer(), it))
         }
+        config.evacuated.forEach { put("evacuation of $it", JsonObject(emptyMap())) }
     }
 
     private fun <T> toJson(type: KSerializer<T>, value: T): JsonObject =
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigPatch.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigPatch.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.core.config
 
+import dev.vanillarun.core.zone.DataCentre
 import kotlinx.serialization.Serializable
 
 /** Difference between two lists whose elements are identified by a key. */
@@ -34,10 +35,14 @@
     public val priorities: List<PriorityClass>? = null,
     /** Spending rules, by route and data centre. */
     public val spending: ListPatch<SpendingRule> = ListPatch(),
+    /** All evacuated data centres in order of their names; null if unchanged. */
+    public val evacuated: List<DataCentre>? = null,
 ) {
     /** True if the configurations are equal in canonical order. */
     public val isEmpty: Boolean
-        get() = listOf(customers, routes, targets, spending).all { it.size == 0 } && priorities == null
+        get() = listOf(customers, routes, targets, spending).all { it.size == 0 } &&
+            priorities == null &&
+            evacuated == null
 }
 
 private val customerKey: (Customer) -> String = { it.id.value }
@@ -52,6 +57,7 @@
     targets = targets.sortedBy(targetKey),
     priorities = priorities,
     spending = spending.sortedBy(spendingKey),
+    evacuated = evacuated.distinct().sortedBy { it.name },
 )
 
 /** Patch that turns this configuration into [next]. */
@@ -61,6 +67,7 @@
     targets = targets.diffBy(next.targets, targetKey),
     priorities = next.priorities.takeIf { it != priorities },
     spending = spending.diffBy(next.spending, spendingKey),
+    evacuated = next.canonical().evacuated.takeIf { it != canonical().evacuated },
 )
 
 /** This configuration with [patch] applied, in canonical order. */
@@ -70,6 +77,7 @@
     targets = targets.patchedBy(patch.targets, targetKey),
     priorities = patch.priorities ?: priorities,
     spending = spending.patchedBy(patch.spending, spendingKey),
+    evacuated = patch.evacuated ?: canonical().evacuated,
 )
 
 private fun <T> List<T>.diffBy(next: List<T>, key: (T) -> String): ListPatch<T> {
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigValidator.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/ConfigValidator.kt
@@ -20,6 +20,7 @@
         list.checkRoutes(config)
         list.checkTargets(config)
         list.checkSpending(config)
+        list.checkEvacuated(config)
         return list.problems
     }
 }
@@ -46,6 +47,16 @@
     }
 }
 
+private fun ProblemList.checkEvacuated(config: RolloutConfig) {
+    val known = config.targets.map { it.dataCentre }.distinct().sortedBy { it.name }
+    checkDistinct(config.evacuated) { "evacuated[$it]" }
+    config.evacuated.forEachIndexed { i, dataCentre ->
+        checkReference(dataCentre in known, "evacuated[$i]") {
+            "there is no target in \"$dataCentre\"; use one of ${known.joinToString()}"
+        }
+    }
+}
+
 private fun ProblemList.checkPriorities(priorities: List<PriorityClass>) {
     checkReference(priorities.isNotEmpty(), "priorities") {
         "there is no priority class; list the classes, the most important first"
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/RolloutConfig.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/config/RolloutConfig.kt
@@ -20,6 +20,8 @@
     public val priorities: List<PriorityClass> = emptyList(),
     /** Bounds for the number of targets that are ordered. */
     public val spending: List<SpendingRule> = emptyList(),
+    /** Data centres whose targets get no new requests; set by `vanillarun evacuate`, not by files. */
+    public val evacuated: List<DataCentre> = emptyList(),
 )
 
 /** A customer with its limits and API keys. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/config/ConfigPatchTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/config/ConfigPatchTest.kt
@@ -35,6 +35,7 @@
         spending = names.bind().distinct().map {
             SpendingRule(RouteName("r$it"), DataCentre("d"), floor = number.bind(), ceiling = 4)
         },
+        evacuated = names.bind().distinct().map { DataCentre("d$it") },
     )
 }
 
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/RunningDaemon.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/RunningDaemon.kt
@@ -121,6 +121,7 @@
         members = peerSubsystem.aliveIds().map { it.value },
         targets = dataPath.pool.all().map(::targetStatus),
         duties = agreement.duties.mapNotNull(::heldDutyOrNull),
+        evacuated = source.active.value?.config?.evacuated.orEmpty().map { it.name },
     )
 
     private fun heldDutyOrNull(runner: DutyRunner): HeldDuty? {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/dispatch/PoolDemand.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/dispatch/PoolDemand.kt
@@ -55,8 +55,11 @@
         }.toMap()
     }
 
-    override fun rules(): List<SpendingRule> =
-        config()?.config?.spending.orEmpty().filter { it.dataCentre == dataCentre }
+    /** An evacuated data centre has none: its targets are neither counted nor ordered away. */
+    override fun rules(): List<SpendingRule> {
+        val current = config()?.config ?: return emptyList()
+        return current.spending.filter { it.dataCentre == dataCentre && dataCentre !in current.evacuated }
+    }
 
     override fun demand(route: RouteName): TargetDemand? {
         val average = averages[route]?.value ?: return null
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/dispatch/TargetPool.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/dispatch/TargetPool.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.id.TargetId
 import dev.vanillarun.core.routing.TargetView
 import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.zone.DataCentre
 import dev.vanillarun.daemon.config.ActiveConfig
 
 /** The targets of the active configuration, with the state that this instance observed of each. */
@@ -17,6 +18,9 @@
     @Volatile
     private var leaving: Set<TargetId> = emptySet()
 
+    @Volatile
+    private var evacuated: Set<DataCentre> = emptySet()
+
     /** Replaces the targets by those of [config]. The state of a target is kept if its address is unchanged. */
     @Synchronized
     public fun update(config: ActiveConfig) {
@@ -29,14 +33,15 @@
             route.name to byId.values.filter { route.name in it.target.routes }
         }
         snapshot = Snapshot(byId, byRoute)
+        evacuated = config.config.evacuated.toSet()
         markLeaving(leaving)
     }
 
-    /** Marks exactly [targets] as leaving, including those that a later [update] adds. */
+    /** Marks exactly [targets] as leaving, besides those in evacuated data centres; also those that [update] adds. */
     @Synchronized
     public fun markLeaving(targets: Set<TargetId>) {
         leaving = targets
-        snapshot.byId.values.forEach { it.leaving = it.id in targets }
+        snapshot.byId.values.forEach { it.leaving = it.id in targets || it.target.dataCentre in evacuated }
     }
 
     /** All targets of the active configuration. */
--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/dispatch/PoolDemandTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/dispatch/PoolDemandTest.kt
@@ -27,7 +27,7 @@
 private class DemandFixture {
     var now = Instant(0)
     var waiting = emptyMap<RouteName, Int>()
-    private val config = ActiveConfig(
+    private var config = ActiveConfig(
         Offset(1),
         RolloutConfig(
             routes = listOf(Route(MODEL, RouteKind.MODEL, model = "m"), Route(SERVICE, RouteKind.SERVICE, path = "/l")),
@@ -64,6 +64,14 @@
         checkNotNull(pool[TargetId(target)]).reported(LoadReport(running, queued, now))
     }
 
+    /** Targets of the model that may get requests. */
+    val open get() = pool.views(MODEL).filterNot { it.leaving }.map { it.id.value }
+
+    fun evacuate(dataCentres: List<DataCentre>) {
+        config = ActiveConfig(config.offset, config.config.copy(evacuated = dataCentres))
+        pool.update(config)
+    }
+
     fun leave(target: String) = pool.markLeaving(setOf(TargetId(target)))
 }
 
@@ -103,6 +111,18 @@
                 fixture.demand.demand(MODEL).shouldBeNull()
             }
 
+            it("has no bounds while the data centre is evacuated, whose targets get no requests all the while") {
+                val fixture = DemandFixture()
+                fixture.evacuate(listOf(TORINO))
+                fixture.demand.rules() shouldBe emptyList()
+                fixture.open shouldBe listOf("far")
+                fixture.leave("far")
+                fixture.open shouldBe emptyList()
+                fixture.evacuate(emptyList())
+                fixture.demand.rules().size shouldBe 2
+                fixture.open shouldBe listOf("e1", "e2")
+            }
+
             it("is a moving average, and excludes leaving targets") {
                 val fixture = DemandFixture()
                 fixture.report("e1", running = 0)
