Move runs only from engines that stay slow for a second

Engines that share their machines are slow for fractions of a second again and again. Where targets report the state of their machine, the slowness now has to last for a second.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -5,6 +5,7 @@
 import dev.vanillarun.core.routing.CompletionParameters
 import dev.vanillarun.core.routing.ExpectedCompletionSelector
 import dev.vanillarun.core.routing.RelocationPolicy
+import dev.vanillarun.core.routing.SustainedSlowness
 import dev.vanillarun.core.routing.TargetView
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
@@ -46,6 +47,7 @@
 ) {
     private val selector = ExpectedCompletionSelector(local = null, Random.Default, CompletionParameters.ForSamples)
     private val prompts = PromptHolders(tracker)
+    private val slowness = SustainedSlowness()
     private val relocation = RelocationPolicy(minSpeedup = MIN_SPEEDUP_TO_MOVE)
 
     /**
@@ -82,7 +84,10 @@
         val placed = engines.filter { isPlaced(it, task) && isPermitted(it, task, running) }
             .map { view(it, task, running) }
         val profile = prompts.profile(task, engines)
-        return relocation.fasterTarget(view(current, task, running), placed, selector, profile, clock.now())
+        val now = clock.now()
+        val faster = relocation.fasterTarget(view(current, task, running), placed, selector, profile, now)
+        val hasMoments = tracker.of(current).load?.slowdown != null
+        return faster.takeIf { slowness.observe(engine, isSlow = faster != null, now) || !hasMoments }
     }
 
     /** Engines that the model is not placed on are used only while the placed ones are full. */
