Keep the texts of unfinished items beyond their runner and their job

After a power failure of all instances, or the loss of the one that ran a job, long items began anew: an item of 159 events takes 8 s, a step 7.5 s. The runner now saves the texts of items that take longer than a second, and its successor goes on with them once all runners that saved them are gone; it waits for that no longer than a text is worth. The runs of items whose job has ended go on while their engines have nothing else to do, so that a later job finds their texts.

Saved and kept only where targets report the state of their machines. JobSubsystem and ResultRecorder are taken out of HostedDaemon and JobRunner, which were too long.

RunnerWatchTest, SavedTextTest, CheckpointsTest, TakenOverItemsTest, DetachedRunsTest.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -27,6 +27,7 @@
 import dev.vanillarun.daemon.metrics.registerFaults
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.checkpoint.registerCheckpoints
 import dev.vanillarun.hosted.duty.ControlDuty
 import dev.vanillarun.hosted.duty.ControlInputs
 import dev.vanillarun.hosted.duty.FleetSizer
@@ -42,13 +43,6 @@
 import dev.vanillarun.hosted.front.FrontServer
 import dev.vanillarun.hosted.front.JobEndpoint
 import dev.vanillarun.hosted.job.JobBoard
-import dev.vanillarun.hosted.job.JobOwnership
-import dev.vanillarun.hosted.job.JobRunner
-import dev.vanillarun.hosted.job.RegionalSlots
-import dev.vanillarun.hosted.job.RewardCaller
-import dev.vanillarun.hosted.job.RunnerInputs
-import dev.vanillarun.hosted.job.SampleRunner
-import dev.vanillarun.hosted.job.SlotMembership
 import dev.vanillarun.hosted.job.registerRoom
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
@@ -96,11 +90,10 @@
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events, regions)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
     private val board: JobBoard = JobBoard(ports.store, clock, events) {
-        if (runner.isBusy) JobBoard.RunnerPace else JobBoard.ReaderPace
+        if (jobs.runner.isBusy) JobBoard.RunnerPace else JobBoard.ReaderPace
     }
     private val usageBoard: UsageBoard = UsageBoard(ports.store, clock, events, reporting = { duty.heldTerm != null })
 
-    private val jobAppender = DurableAppender(ports.store, JobBoard.Topic, writer, events)
     private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer, events)
     private val crashAppender = DurableAppender(ports.store, CrashBoard.Topic, writer, events)
     private val placementAppender = DurableAppender(ports.store, PlacementBoard.Topic, writer, events)
@@ -113,7 +106,7 @@
         catalog = catalog,
         replicas = replicas,
         tracker = tracker,
-        ownership = SlotOwnership({ slots }, { placement.placement.value.models[it.id] }),
+        ownership = SlotOwnership({ jobs.slots }, { placement.placement.value.models[it.id] }),
         clock = clock,
         wallClock = wallClock,
         events = events,
@@ -124,17 +117,6 @@
         StreamForwarder(targets.chooser, targets.gateway, ports.targets, tracker, crashes, clock, events)
     private val usageWindow = settings.hosting.usageWindowS.seconds
     private val usageMeter = UsageMeter(usageAppender, usageWindow, clock, wallClock)
-    private val slots = SlotMembership(ports.store, settings.instance, events, clock)
-    private val regional = settings.regionOf[DataCentre(settings.dataCentre)]?.let { region ->
-        RegionalSlots(
-            region,
-            SlotMembership(ports.store, settings.instance, events, clock, region) {
-                catalog.catalog.value?.limitsRegions ?: false
-            },
-        )
-    }
-    private val ownership = JobOwnership(catalog, slots, regional, regions)
-
     private val leaseLog = TopicPlatformLog(ports.store, LeaseTopic, StreamName.Duty)
     private val leaseAppender = LogAppender(leaseLog, clock)
     private val leases =
@@ -161,22 +143,12 @@
         clock = clock,
     )
 
-    private val rewards = RewardCaller(catalog, live, clock, events)
-    private val runner = JobRunner(
-        inputs = RunnerInputs(
-            board = board,
-            catalog = catalog,
-            replicas = replicas,
-            placement = placement,
-            slots = slots,
-            tracker = tracker,
-            departures = targets.departures,
-            gates = targets.gates,
-            ownership = ownership,
-        ),
-        samples = SampleRunner(targets.gateway, ports.targets, tracker, clock),
-        rewards = rewards,
-        appender = jobAppender,
+    private val jobs: JobSubsystem = JobSubsystem(
+        settings = settings,
+        ports = ports,
+        views = JobInputs(board, catalog, replicas, placement, tracker),
+        targets = targets,
+        live = live,
         writer = writer,
         clock = clock,
         wallClock = wallClock,
@@ -217,7 +189,7 @@
         catalog = catalog,
         live = live,
         streams = streams,
-        jobs = JobEndpoint(ports.callers, board, jobAppender, writer, wallClock),
+        jobs = JobEndpoint(ports.callers, board, jobs.appender, writer, wallClock),
         usage = usageMeter,
         calls = callCounter,
         admission = admission,
@@ -231,7 +203,8 @@
 
     init {
         targets.register(metrics)
-        metrics.registerRoom(rewards, live)
+        metrics.registerRoom(jobs.rewards, live)
+        metrics.registerCheckpoints(jobs.checkpoints)
         metrics.registerFaults(connections)
     }
 
@@ -284,18 +257,18 @@
             "crashes" to crashes.follower,
         ).forEach { (topic, follower) -> supervisor.start("follower.$topic") { follower.run() } }
         supervisor.start("jobs.content") { board.content.run() }
-        listOf(jobAppender, usageAppender, placementAppender, crashAppender).forEach { appender ->
+        (jobs.appenders + listOf(usageAppender, placementAppender, crashAppender)).forEach { appender ->
             supervisor.start("appender.${appender.topic.value}") { appender.run() }
         }
         supervisor.start("targets.expiry") { replicas.run() }
         supervisor.start("targets.tracking") { replicas.replicas.collect(::retainTargets) }
         supervisor.start("usage.meter") { usageMeter.run() }
-        supervisor.start("slots") { slots.run() }
-        regional?.let { supervisor.start("slots.regional") { it.slots.run() } }
+        supervisor.start("slots") { jobs.slots.run() }
+        jobs.regional?.let { supervisor.start("slots.regional") { it.slots.run() } }
         supervisor.start("lease.appender") { leaseAppender.run() }
         supervisor.start("lease.follower") { leases.run() }
         supervisor.start("duty") { duty.run() }
-        supervisor.start("jobs.runner") { runner.run() }
+        supervisor.start("jobs.runner") { jobs.runner.run() }
         supervisor.start("weights") { weightLoader.run() }
         supervisor.start("fleet") { fleetSizer.run() }
         supervisor.start("usage.reporter") { usageReporter.run() }
@@ -338,11 +311,11 @@
         val grace = settings.hosting.graceS.seconds - EXIT_MARGIN
         withTimeoutOrNull(grace) {
             launch { duty.stop(HANDOVER_TIMEOUT) }
-            launch { slots.leave() }
-            regional?.let { launch { it.slots.leave() } }
-            runner.stopAccepting()
+            launch { jobs.slots.leave() }
+            jobs.regional?.let { launch { it.slots.leave() } }
+            jobs.runner.stopAccepting()
             val serviceTime = grace - CLOSE_TIME
-            callerDrain.finishCalls(minOf(BALANCER_NOTICE, serviceTime), serviceTime) { runner.inProgress > 0 }
+            callerDrain.finishCalls(minOf(BALANCER_NOTICE, serviceTime), serviceTime) { jobs.runner.inProgress > 0 }
             callerDrain.closeConnections()
             usageMeter.flush()
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -39,6 +39,8 @@
 internal class ItemTable(
     private val clock: MonotonicClock,
     private val wallClock: () -> Long = System::currentTimeMillis,
+    /** Runs of items whose job has ended. */
+    val detached: DetachedRuns = DetachedRuns(clock),
 ) {
     /** Work in progress. */
     val running = HashMap<RunKey, ActiveRun>()
@@ -78,19 +80,25 @@
     }
 
     /** Start times of the runs at each engine; engines without any are absent. */
-    fun runs(): Map<TargetId, List<Instant>> =
-        running.values.filter { it.engine != null }.groupBy({ checkNotNull(it.engine) }, { it.since })
+    fun runs(): Map<TargetId, List<Instant>> {
+        val known = running.values.mapNotNull { run -> run.engine?.let { it to run.since } } + detached.engines
+        return known.groupBy({ it.first }, { it.second })
+    }
 
     /** True if [item] has been at no engine for so long that an engine should be tried before its backoff ends. */
     fun isOverdue(item: ItemId): Boolean = progress[item]?.idleSince?.let { clock.now() - it >= MAX_IDLE_TIME } ?: false
 
-    /** Cancels runs whose item has a result. Runs survive the loss of their slot: a new owner starts from scratch. */
-    fun cancelClosed(views: List<JobView>) {
+    /**
+     * Cancels runs whose item has a result, and detaches those whose job has ended without one; [views] are the open
+     * jobs, and [isListed] tells of all jobs. Runs survive the loss of their slot: a new owner starts from scratch.
+     */
+    fun cancelClosed(views: List<JobView>, isListed: (RunKey) -> Boolean = { true }) {
         val open = views.associateBy { it.job?.id }
         running.filterKeys { key -> open[key.job]?.positions?.containsKey(key.item) != false }.forEach { (key, run) ->
-            run.work.cancel()
             running.remove(key)
+            if (isListed(key)) run.work.cancel() else detached.detach(key.item, run)
         }
+        detached.update(views) { progress[it] }
         concluded.keys.removeAll { key -> open[key.job]?.positions?.containsKey(key.item) != false }
         groups.keys.retainAll { it in open }
         rewardGroups.keys.retainAll { it in open }
@@ -159,7 +167,7 @@
         progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false
 
     private fun isWaiting(view: JobView, key: RunKey): Boolean =
-        key.item !in view.positions && key !in running && key !in concluded
+        key.item !in view.positions && key !in running && key !in concluded && key.item !in detached
 
     private fun returnedGroups(job: Job): Set<String> =
         job.items.filter { it.id in progress }.mapTo(HashSet()) { it.group }
@@ -169,6 +177,7 @@
         val backoff = progress[key.item]?.notBefore?.let { it - clock.now() } ?: Duration.ZERO
         return when {
             key in running -> "being scored or recorded"
+            key.item in detached -> "still generated for a job that has ended"
             key in concluded -> "recorded but not listed yet"
             backoff > Duration.ZERO -> "backed off for ${backoff.inWholeMilliseconds} ms"
             else -> null
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -3,22 +3,21 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.Replica
 import dev.vanillarun.core.id.TargetId
-import dev.vanillarun.core.job.ItemResult
+import dev.vanillarun.core.job.ItemId
 import dev.vanillarun.core.job.ItemState
 import dev.vanillarun.core.job.Job
 import dev.vanillarun.core.job.JobItem
-import dev.vanillarun.core.job.JobRecord
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.core.job.assignmentOrder
-import dev.vanillarun.core.store.TopicAppendResult
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.checkpoint.Checkpoints
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
 import dev.vanillarun.hosted.target.DepartureBoard
@@ -48,6 +47,9 @@
     val departures: DepartureBoard,
     val gates: TargetGates = TargetGates(),
     val ownership: JobOwnership = JobOwnership(catalog, slots),
+    val checkpoints: Checkpoints? = null,
+    /** True if runs go on after the end of their job while their engines have nothing else to do. */
+    val keepsRuns: () -> Boolean = tracker::reportsMachines,
 )
 
 /**
@@ -60,8 +62,8 @@
     private val inputs: RunnerInputs,
     private val samples: SampleRunner,
     private val rewards: RewardCaller,
-    private val appender: DurableAppender,
-    private val writer: String,
+    appender: DurableAppender,
+    writer: String,
     private val clock: MonotonicClock,
     private val wallClock: () -> Long,
     private val events: EventRecorder,
@@ -76,10 +78,12 @@
     private val takeover = SlotTakeover(clock, events)
     private val confined: CoroutineDispatcher = dispatcher.limitedParallelism(1)
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val items = ItemTable(clock, wallClock)
+    private val items = ItemTable(clock, wallClock, DetachedRuns(clock, inputs.keepsRuns))
     private val running = items.running
     private val progress = items.progress
     private val loader = ItemLoader(inputs.board)
+    private val checkpoints = ItemCheckpoints(inputs.checkpoints, items)
+    private val recorder = ResultRecorder(appender, writer, items, clock, events)
     private var assigned = 0L
 
     /** Runs until the calling coroutine is cancelled. */
@@ -90,6 +94,7 @@
         launch { inputs.replicas.replicas.collect { wake.trySend(Unit) } }
         launch { inputs.placement.loadCount.collect { wake.trySend(Unit) } }
         launch { inputs.slots.grant.collect { wake.trySend(Unit) } }
+        launch { checkpoints.saveTexts { inputs.board.table.value.jobs.values.filter { it.open && isOwned(it) } } }
         while (true) {
             schedule(this)
             withTimeoutOrNull(if (isBusy) POLL_INTERVAL else IDLE_POLL_INTERVAL) { wake.receive() }
@@ -119,12 +124,15 @@
     private fun schedule(scope: CoroutineScope) {
         val viewAt = inputs.board.follower.state.value.caughtUpAt // before the table, which may be newer
         val open = inputs.board.table.value.jobs.values.filter { it.open }
-        items.cancelClosed(open)
+        items.cancelClosed(open) { key ->
+            inputs.board.table.value.jobs[key.job]?.positions?.containsKey(key.item) ?: true
+        }
         if (viewAt != null) recordLost(scope, viewAt)
         takeover.granted(inputs.slots.grant.value.slots)
         val mine = if (accepting) open.filter(::isMine) else emptyList()
         val (loaded, others) = mine.partition { it.job?.loaded == true }
         others.forEach { loader.load(scope, it) }
+        checkpoints.update(scope, open, loaded) { wake.trySend(Unit) }
         dispatchWaiting(scope, loaded)
         if (accepting) moveRuns()
         inProgress = running.size
@@ -154,11 +162,15 @@
 
     private fun dispatchWaiting(scope: CoroutineScope, mine: List<JobView>) {
         val waiting = mine.flatMap { view -> view.job?.let(::route)?.let { items.waiting(view, it) }.orEmpty() }
-        assignmentOrder(waiting, assigned).forEach { item ->
+        assignmentOrder(waiting.filterNot(checkpoints::holds), assigned).forEach { item ->
             dispatch(scope, mine.first { it.job?.id == item.job }, item)
         }
     }
 
+    private fun isOpen(item: ItemId): Boolean = inputs.board.table.value.jobs.values.any { view ->
+        view.open && view.job?.items.orEmpty().any { it.id == item }
+    }
+
     private fun isMine(view: JobView): Boolean = isOwned(view) && view.job?.let(::route) != null
 
     private fun isOwned(view: JobView): Boolean = view.job?.let(inputs.ownership::owns) ?: false
@@ -173,6 +185,11 @@
         val before = progress[waiting.item.id] ?: ItemProgress()
         val known = before.copy(idleSince = before.idleSince ?: clock.now()).validFor(task)
         progress[waiting.item.id] = known
+        checkpoints.take(task)?.let { saved ->
+            val work = scope.launch { guarded(task) { checkpoints.adopt(task, saved) { wake.trySend(Unit) } } }
+            running[key] = ActiveRun(work, engine = null, task, clock.now())
+            return
+        }
         val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
         val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
         if (end != null) {
@@ -181,6 +198,7 @@
             return
         }
         val choice = engines.choose(task, items.runs(), items.isOverdue(waiting.item.id))
+        if (choice == EngineChoice.None.FULL) items.detached.freeSlot(::isOpen)
         val engine = (choice as? EngineChoice.Chosen)?.engine ?: return
         engines.dispatched(task, engine)
         val work = scope.launch { guarded(task) { attempt(task, engine) } }
@@ -200,6 +218,7 @@
         progress[task.item.id] =
             (progress[task.item.id] ?: ItemProgress()).copy(notBefore = clock.now() + FAILURE_BACKOFF)
         running.remove(RunKey(task.job.id, task.item.id))
+        items.detached.ended(task.item.id)
     }
 
     /** Moves runs out of evacuated data centres and away from engines that are slow. */
@@ -254,6 +273,7 @@
         if (isWholeRun) items.runCompleted(task.item, elapsed)
         progress[task.item.id] = before.afterRun(end, clock.now())
         wake.trySend(Unit)
+        if (items.detached.ended(task.item.id)) return
         val conclusion = when (end) {
             is RunOutcome.Complete -> Conclusion.SCORE
             RunOutcome.Unprocessable -> Conclusion.ABORT
@@ -276,46 +296,19 @@
         val scored = if (isScored) rewards.score(reward, group, task.customerRegions) else null
         when {
             conclusion == Conclusion.ABORT || scored == RewardResult.AttemptsExhausted ->
-                record(task, ItemState.ABORTED, transcript)
-
-            else -> record(task, ItemState.COMPLETED, transcript, (scored as? RewardResult.Scored)?.signature)
-        }
-    }
-
-    private suspend fun record(task: SampleTask, state: ItemState, transcript: Transcript, score: String? = null) {
-        val completed = state == ItemState.COMPLETED
-        val result = ItemResult(
-            item = task.item.id,
-            state = state,
-            text = if (completed) transcript.text else "",
-            versions = if (completed) transcript.versions.sorted() else emptyList(),
-            score = score,
-        )
-        record(task, result, writer)
-    }
+                recorder.record(task, ItemState.ABORTED, transcript)
 
-    private suspend fun record(task: SampleTask, result: ItemResult, writer: String, attempt: Int = 0) {
-        val appended = appender.append(JobRecords.encode(JobRecord.Finished(task.job.id, result), writer))
-        if (appended is TopicAppendResult.Rejected && result.text.isNotEmpty()) {
-            recordEvent("item.result_rejected", task, "reason" to appended.reason)
-            return record(task, ItemResult(result.item, ItemState.ABORTED), writer, attempt)
+            else ->
+                recorder.record(task, ItemState.COMPLETED, transcript, (scored as? RewardResult.Scored)?.signature)
         }
-        val state = result.state.name.lowercase()
-        recordEvent("item.recorded", task, "state" to state, "versions" to "${result.versions}")
-        items.conclude(RecordedResult(task, result, attempt, clock.now()))
     }
 
-    /**
-     * Records results again that the store has lost. Each attempt has a writer of its own: if the first record appears
-     * after all, a second one under its key would move the result to another position when the topic is compacted.
-     */
+    /** Records results again that the store has lost. */
     private fun recordLost(scope: CoroutineScope, viewAt: Instant) {
         items.takeLost(viewAt).forEach { lost ->
-            val task = lost.task
-            val attempt = lost.attempt + 1
-            recordEvent("item.record_lost", task, "attempt" to "$attempt")
-            val work = scope.launch { guarded(task) { record(task, lost.result, "$writer.$attempt", attempt) } }
-            running[RunKey(task.job.id, task.item.id)] = ActiveRun(work, engine = null, task, clock.now())
+            val work = scope.launch { guarded(lost.task) { recorder.recordAgain(lost) } }
+            running[RunKey(lost.task.job.id, lost.task.item.id)] =
+                ActiveRun(work, engine = null, lost.task, clock.now())
         }
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/target/TargetTracker.kt
@@ -47,6 +47,11 @@
 
     private val Replica.run get() = Run(id, startedAt)
 
+    /** True if a target has reported how long work takes on its machine, which it shares with other work. */
+    @Volatile
+    public var reportsMachines: Boolean = false
+        private set
+
     /** Observations of [replica]; empty before the first request. */
     public fun of(replica: Replica): TargetObservations = records[replica.run] ?: TargetObservations()
 
@@ -70,6 +75,7 @@
 
     /** Ends the backoff of [replica] and stores the load that [head] reports. */
     public fun responseReceived(replica: Replica, head: ResponseHead): Unit = change(replica) {
+        if (head.load?.slowdown != null) reportsMachines = true
         it.copy(
             failures = 0,
             refusals = if (head.notRun) it.refusals else 0,
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.catalog.CatalogRoute
 import dev.vanillarun.core.catalog.RequestKind
 import dev.vanillarun.core.catalog.ServiceShare
+import dev.vanillarun.core.checkpoint.RunnerId
 import dev.vanillarun.core.id.Incarnation
 import dev.vanillarun.core.id.InstanceId
 import dev.vanillarun.core.job.ItemId
@@ -24,6 +25,10 @@
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.OperatorRecord
 import dev.vanillarun.hosted.catalog.ReplicaSource
+import dev.vanillarun.hosted.checkpoint.Checkpoints
+import dev.vanillarun.hosted.checkpoint.ProgressRecovery
+import dev.vanillarun.hosted.checkpoint.ProgressSaver
+import dev.vanillarun.hosted.checkpoint.ProgressTopics
 import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.evacuation.EvacuationGate
 import dev.vanillarun.hosted.fake.Behaviour
@@ -38,6 +43,7 @@
 import dev.vanillarun.hosted.target.TargetGates
 import dev.vanillarun.hosted.target.TargetGateway
 import dev.vanillarun.hosted.target.TargetTracker
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
@@ -61,6 +67,7 @@
     private val engines: Int,
     private val scorers: Int,
     private val dataCentres: List<String> = listOf("z"),
+    private val keepsRuns: Boolean = false,
 ) {
     val log = FakeTopicLog()
     val targets = FakeTargets()
@@ -93,20 +100,42 @@
         val crashes = CrashBoard(log, crashAppender, background, clock, events)
         val chooser = ReplicaChooser(departures, tracker, gateway::isWarm, DataCentre("z"), clock)
         val live = LiveForwarder(chooser, gateway, tracker, crashes, clock, events)
+        val topics = ProgressTopics(log)
+        val texts = DurableAppender(log, ProgressTopics.Texts, "texts", NoOpEventRecorder)
+        val beats = DurableAppender(log, ProgressTopics.Runners, "beats", NoOpEventRecorder)
+        val self = RunnerId("i", startedAt = 1)
+        val wallClock = { now.inWholeMilliseconds }
+        val checkpoints = Checkpoints(
+            ProgressSaver(texts, beats, topics, self, { true }, clock, wallClock),
+            ProgressRecovery(topics, self, clock, wallClock, events),
+        )
+        val ownership = JobOwnership(catalog, slots)
         val runner = JobRunner(
-            inputs = RunnerInputs(board, catalog, replicas, placement, slots, tracker, departures, gates),
+            inputs = RunnerInputs(
+                board,
+                catalog,
+                replicas,
+                placement,
+                slots,
+                tracker,
+                departures,
+                gates,
+                ownership,
+                checkpoints,
+                keepsRuns = { keepsRuns },
+            ),
             samples = SampleRunner(gateway, targets, tracker, clock),
             rewards = RewardCaller(catalog, live, clock, events),
             appender = appender,
             writer = "w",
             clock = clock,
-            wallClock = { now.inWholeMilliseconds },
+            wallClock = wallClock,
             events = events,
             dispatcher = StandardTestDispatcher(scope.testScheduler),
         )
         listOf(catalog.follower, replicas.follower, board.follower, placement.follower, crashes.follower)
             .forEach { background.launch { it.run() } }
-        listOf(appender, crashAppender).forEach { background.launch { it.run() } }
+        listOf(appender, crashAppender, texts, beats).forEach { background.launch { it.run() } }
         background.launch { board.content.run() }
         background.launch { slots.run() }
         replicas.replicas.first { it.size == engines + scorers }
@@ -118,14 +147,24 @@
 
     fun setScorers(behaviour: Behaviour) = repeat(scorers) { targets.behaviours["s$it:80"] = behaviour }
 
-    fun submit(id: String, items: List<JobItem>, minVersion: Long = 0) {
-        val job = Job(JobId(id), null, HOST, "/gen/", now.inWholeMilliseconds, minVersion = minVersion, items = items)
+    fun submit(id: String, items: List<JobItem>, minVersion: Long = 0, age: Duration = Duration.ZERO) {
+        val submittedAt = (now - age).inWholeMilliseconds
+        val job = Job(JobId(id), null, HOST, "/gen/", submittedAt, minVersion = minVersion, items = items)
         JobRecords.encode(JobRecord.Submitted(job), "caller").forEach { log.put(JobBoard.Topic, it) }
     }
 
+    fun end(id: String) =
+        JobRecords.encode(JobRecord.Ended(JobId(id)), "caller").forEach { log.put(JobBoard.Topic, it) }
+
     suspend fun awaitJob(id: String, condition: (JobView) -> Boolean): JobView =
         board.table.first { it.jobs[JobId(id)]?.let(condition) == true }.jobs.getValue(JobId(id))
 
+    /** The first recorded event that meets [condition]; waits for it. */
+    suspend fun awaitEvent(condition: (TimedEvent) -> Boolean): TimedEvent {
+        while (recorded.none(condition)) delay(5.milliseconds)
+        return recorded.first(condition)
+    }
+
     /** Times from [since] on at which [item] was sent to an engine. */
     fun sends(item: JobItem, since: Duration = Duration.ZERO): List<Duration> =
         recorded.filter { it.name == "item.sent" && it.item == item.id.value && it.at >= since }.map { it.at }
@@ -170,5 +209,6 @@
     engines: Int = 4,
     scorers: Int = 3,
     dataCentres: List<String> = listOf("z"),
+    keepsRuns: Boolean = false,
     test: suspend RunnerFixture.() -> Unit,
-) = runTest { RunnerFixture(this, engines, scorers, dataCentres).apply { start() }.test() }
+) = runTest { RunnerFixture(this, engines, scorers, dataCentres, keepsRuns).apply { start() }.test() }
