Keep the beats of all watched runners, and see slow engines as engines

- While the runners of two jobs were awaited, each read of the beats dropped those of the other job's runner, so that neither was gone until the wait was over, and their items began anew.
CheckpointsTest has two jobs; not seen red on the former code.
- Whether an engine is slow was asked of each item, and the answer depended on free slots elsewhere: one item that found none reset the second.
It is now a property of the engine and the others.
- item.recovered was recorded before the store had confirmed the text.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/RunnerWatch.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/RunnerWatch.kt
@@ -34,10 +34,10 @@
         val since: Instant,
     )
 
-    /** Returns the watch after the beats of all instances were read [now]; [instances] are those of interest. */
+    /** Returns the watch after the beats were read [now]; those of [instances] are looked at from now on. */
     public fun observed(beats: Map<String, RunnerBeat>, instances: Set<String>, now: Instant): RunnerWatch =
         RunnerWatch(
-            instances.associateWith { instance ->
+            seen + instances.associateWith { instance ->
                 val beat = beats[instance]
                 seen[instance]?.copy(latest = beat ?: seen[instance]?.latest) ?: Seen(beat, beat, now)
             },
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/checkpoint/ProgressRecovery.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/checkpoint/ProgressRecovery.kt
@@ -87,23 +87,27 @@
         val takeover = takeovers[job] ?: return null
         val text = takeover.texts[item] ?: return null
         takeover.texts -= item
-        if (state(text) != RunnerState.GONE) return null
+        return text.takeIf { state(it) == RunnerState.GONE }
+    }
+
+    /** Records that [item] of [job] goes on after [text]. */
+    fun adopted(job: JobId, item: ItemId, text: SavedText) {
         recovered++
         val attributes = mapOf(
             "runners" to text.runners.joinToString(","),
             "after_event" to "${text.transcript.lastEventNumber}",
         )
         events.record("item.recovered", EventLinks(request = job.value, sample = item.value), attributes)
-        return text
     }
 
     /** Forgets all jobs but those with [open]. */
     fun retain(open: Set<JobId>) {
         takeovers.keys.retainAll(open)
         owned.retainAll(open)
+        if (takeovers.isEmpty()) watch = RunnerWatch()
     }
 
-    /** The state of the runner of [text] of which least is known; one that runs counts most. */
+    /** The state of all runners of [text] together: one that runs decides, then one that is not known. */
     private fun state(text: SavedText): RunnerState = text.runners.maxOfOrNull(::state) ?: RunnerState.GONE
 
     private fun state(runner: RunnerId): RunnerState =
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/EngineSelector.kt
@@ -85,9 +85,21 @@
             .map { view(it, task, running) }
         val profile = prompts.profile(task, engines)
         val now = clock.now()
-        val faster = relocation.fasterTarget(view(current, task, running), placed, selector, profile, now)
+        val slow = view(current, task, running)
         val hasMoments = tracker.of(current).load?.slowdown != null
-        return faster.takeIf { slowness.observe(engine, isSlow = faster != null, now) || !hasMoments }
+        val isSettled = !hasMoments || slowness.observe(engine, isSlow(slow, usable, task, running), now)
+        return if (isSettled) relocation.fasterTarget(slow, placed, selector, profile, now) else null
+    }
+
+    /** True if a run at [engine] would go on so much faster at one of [others] that it should move to a slot there. */
+    private fun isSlow(
+        engine: TargetView,
+        others: List<Replica>,
+        task: SampleTask,
+        running: Map<TargetId, List<Instant>>,
+    ): Boolean {
+        val speeds = others.map { view(it, task, running).stats.secondsPerToken }.filter { it > 0.0 }
+        return speeds.isNotEmpty() && engine.stats.secondsPerToken > speeds.min() * MIN_SPEEDUP_TO_MOVE
     }
 
     /** Engines that the model is not placed on are used only while the placed ones are full. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemCheckpoints.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemCheckpoints.kt
@@ -1,6 +1,7 @@
 package dev.vanillarun.hosted.job
 
 import dev.vanillarun.core.checkpoint.SavedText
+import dev.vanillarun.core.job.ItemId
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.hosted.checkpoint.Checkpoints
@@ -21,16 +22,16 @@
 
     /** True if [waiting] has to wait, since a saved text of it may be usable soon. */
     fun holds(waiting: WaitingItem): Boolean =
-        !hasText(waiting) && checkpoints?.recovery?.holds(waiting.job, waiting.item.id) ?: false
+        !hasText(waiting.item.id) && checkpoints?.recovery?.holds(waiting.job, waiting.item.id) ?: false
 
-    private fun hasText(waiting: WaitingItem): Boolean =
-        items.progress[waiting.item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false
+    private fun hasText(item: ItemId): Boolean =
+        items.progress[item]?.transcript?.let { it.lastEventNumber > 0 } ?: false
 
     /** Returns a saved text that the item of [task] may go on after, unless it has one of its own. */
     fun take(task: SampleTask): SavedText? {
-        val known = items.progress[task.item.id]?.transcript?.lastEventNumber ?: 0
-        val saved = checkpoints?.recovery?.take(task.job.id, task.item.id) ?: return null
-        return saved.takeIf { known == 0L && saved.transcript.lastEventNumber > 0 }
+        if (hasText(task.item.id)) return null
+        val saved = checkpoints?.recovery?.take(task.job.id, task.item.id)
+        return saved?.takeIf { it.transcript.lastEventNumber > 0 }
     }
 
     /** Makes [saved] the text of the item of [task], if the store confirms that this instance goes on with it. */
@@ -38,6 +39,7 @@
         val text = GrowingText(task.job.id, task.item.id, saved.transcript)
         if (checkpoints?.saver?.adopt(text) == true) {
             items.progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = saved.transcript) }
+            checkpoints.recovery.adopted(task.job.id, task.item.id, saved)
         }
         items.running.remove(RunKey(task.job.id, task.item.id))
         onChange()
@@ -54,9 +56,7 @@
             val job = view.job ?: return@flatMapTo emptyList()
             job.items.filter { it.id !in view.positions }.map { RunKey(job.id, it.id) }
         }
-        return keys.mapNotNull { key ->
-            items.progress[key.item]?.let { GrowingText(key.job, key.item, it.transcript) }
-        }
-            .filter { it.transcript.lastEventNumber > 0 }
+        return keys.filter { hasText(it.item) }
+            .map { GrowingText(it.job, it.item, items.progress.getValue(it.item).transcript) }
     }
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/checkpoint/CheckpointsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/checkpoint/CheckpointsTest.kt
@@ -13,7 +13,10 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -49,18 +52,18 @@
         suspend fun end() = work.cancelAndJoin()
 
         /** Takes the job over and returns the text of the item, and how long it was held. */
-        suspend fun takeOver(): Pair<List<String>?, Duration> {
+        suspend fun takeOver(id: JobId = job): Pair<List<String>?, Duration> {
             val since = scope.currentTime
-            recovery.owned(scope.backgroundScope, Job(job, null, "h", "/", submittedAt = since - 5_000)) {}
-            while (recovery.holds(job, item)) delay(5.milliseconds)
-            return recovery.take(job, item)?.transcript?.eventData to (scope.currentTime - since).milliseconds
+            recovery.owned(scope.backgroundScope, Job(id, null, "h", "/", submittedAt = since - 5_000)) {}
+            while (recovery.holds(id, item)) delay(5.milliseconds)
+            return recovery.take(id, item)?.transcript?.eventData to (scope.currentTime - since).milliseconds
         }
     }
 
     /** A text that grows by an event each 50 ms from now on. */
-    fun growing(): () -> List<GrowingText> {
+    fun growing(id: JobId = job): () -> List<GrowingText> {
         val since = scope.currentTime
-        return { listOf(GrowingText(job, item, text(((scope.currentTime - since) / 50).toInt()))) }
+        return { listOf(GrowingText(id, item, text(((scope.currentTime - since) / 50).toInt()))) }
     }
 }
 
@@ -108,6 +111,19 @@
                     (Process("a").takeOver().first.orEmpty().size >= 60) shouldBe true
                 }
             }
+            // Guards against beats that are forgotten while those of another job's runner are read.
+            it("goes on beside that of another job, whose instance has ended too") {
+                withInstances {
+                    val ended = listOf(Process("a", growing()), Process("c", growing(JobId("k"))))
+                    delay(4.seconds)
+                    ended.forEach { it.end() }
+                    val successor = Process("b")
+                    val texts = coroutineScope {
+                        listOf(job, JobId("k")).map { async { successor.takeOver(it).first } }.awaitAll()
+                    }
+                    texts.forEach { (it.orEmpty().size >= 60) shouldBe true }
+                }
+            }
             it("begins anew without delay if its text is worth less than the wait") {
                 withInstances {
                     Process("a", growing()).run {
