Count only answers of 500 as failures of a reward call

LiveForwarder counted each answer of 500 and above, and RewardCaller gave the item up by that count. A target whose time is up answers 504, and one in trouble may answer 502 or 503 without saying that the call has not run; neither says that the call failed. An instance that is late with its own deadline takes such an answer for one of the failures.

Only 500 counts now; the call is repeated after the others, as after no answer. reward.retried names the outcome of each try, and reward.exhausted tells why an item is aborted, which the log could not.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RewardCaller.kt
@@ -48,15 +48,15 @@
     val repeatsWithheld: Map<String, Long> get() = lanes.mapValues { it.value.repeatsWithheld }
 
     /**
-     * Retries [call] for an item of [group] until it succeeds or the maximum attempts of its route have failed. It goes
-     * to targets in [customerRegions] only, unless these are empty.
+     * Retries [call] for an item of [group] until it succeeds, or targets have run and failed it (status 500) as often
+     * as its route allows attempts. It goes to targets in [customerRegions] only, unless these are empty.
      */
     suspend fun score(
         call: RewardCall,
         group: RewardGroup = RewardGroup(),
         customerRegions: Set<Region> = emptySet(),
     ): RewardResult {
-        var errors = 0
+        var failedRuns = 0
         var failures = 0
         while (true) {
             val route = catalog.catalog.value?.route(call.host, call.path.substringBefore('?'))
@@ -66,13 +66,14 @@
             if (outcome is LiveOutcome.Complete) {
                 val signature = outcome.signature
                 if (outcome.status < FIRST_ERROR && signature != null) return RewardResult.Scored(signature)
-                errors += outcome.serverErrors
-                if (errors >= route?.maxAttempts ?: 1) return RewardResult.AttemptsExhausted
+                failedRuns += outcome.failedRuns
+                if (failedRuns >= route?.maxAttempts ?: 1) return exhausted(call, outcome.status, failedRuns)
             }
             failures++
             val pause = lane?.repeatDelay(failures, outcome?.let(::endOf) ?: RewardCallEnd.OTHER) ?: NO_ROUTE_DELAY
             val attributes = mapOf(
-                "errors" to "$errors",
+                "errors" to "$failedRuns",
+                "outcome" to (outcome?.describe() ?: "no route"),
                 "route" to route?.name.orEmpty(),
                 "pause_ms" to "${pause.inWholeMilliseconds}",
             )
@@ -81,6 +82,19 @@
         }
     }
 
+    private fun exhausted(call: RewardCall, status: Int, failedRuns: Int): RewardResult {
+        val attributes = mapOf("status" to "$status", "errors" to "$failedRuns")
+        events.record("reward.exhausted", EventLinks(request = call.id), attributes)
+        return RewardResult.AttemptsExhausted
+    }
+
+    private fun LiveOutcome.describe(): String = when (this) {
+        is LiveOutcome.Complete -> "answered $status"
+        is LiveOutcome.NotRun -> "not run: $reason"
+        is LiveOutcome.Streamed -> "streamed"
+        is LiveOutcome.Unknown -> "unknown: $reason"
+    }
+
     private suspend fun attempt(
         call: RewardCall,
         route: CatalogRoute,
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveForwarder.kt
@@ -84,7 +84,7 @@
         private var inFlight = 0
         private var mayHaveRun = 0
         private var failure: LiveOutcome.Complete? = null
-        private var serverErrors = 0
+        private var failedRuns = 0
         private var refused = false
         private var reason: String? = null
 
@@ -120,8 +120,9 @@
             when (result) {
                 is Attempt.Answer -> {
                     if (result.outcome.status < FIRST_SERVER_ERROR || !request.repeatable) return result.outcome
-                    serverErrors++
-                    failure = result.outcome.after(serverErrors)
+                    // Only 500 says that the request failed; 504, for instance, says that its time was up.
+                    if (result.outcome.status == RUN_FAILED) failedRuns++
+                    failure = result.outcome.after(failedRuns)
                     mayHaveRun++
                     reason = "the target failed with ${result.outcome.status}"
                 }
@@ -219,13 +220,16 @@
         return Attempt.Answer(LiveOutcome.Complete(status, headers, body, signature, source))
     }
 
-    private fun LiveOutcome.Complete.after(errors: Int) =
-        LiveOutcome.Complete(status, headers, body, signature, source, errors)
+    private fun LiveOutcome.Complete.after(failedRuns: Int) =
+        LiveOutcome.Complete(status, headers, body, signature, source, failedRuns)
 
     private companion object {
         const val FIRST_ERROR = 300
         const val FIRST_SERVER_ERROR = 500
 
+        /** Status of a target that ran the request and failed. */
+        const val RUN_FAILED = 500
+
         /** Maximum number of targets for one request, including those that rejected it. */
         const val MAX_SENDS = 4
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/live/LiveRequest.kt
@@ -96,14 +96,14 @@
 
 /** Outcome of a request of a live caller. */
 internal sealed interface LiveOutcome {
-    /** A complete response; [serverErrors] counts the attempts that got a server error, including this one. */
+    /** A complete response; [failedRuns] counts the attempts that a target ran and failed, including this one. */
     class Complete(
         val status: Int,
         val headers: Headers,
         val body: ByteArray,
         val signature: String?,
         val source: ResponseSource,
-        val serverErrors: Int = 0,
+        val failedRuns: Int = 0,
     ) : LiveOutcome
 
     /** The response was streamed, to its end if [complete], otherwise cut off after event [lastEventNumber]. */
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/live/LiveForwarderTest.kt
@@ -195,7 +195,7 @@
                         request(route(RequestKind.IDEMPOTENT)),
                     ).shouldBeInstanceOf<LiveOutcome.Complete>()
                     failed.status shouldBe 500
-                    failed.serverErrors shouldBe 2
+                    failed.failedRuns shouldBe 2
                 }
             }
             it("is said to have not run only if no target can have run it") {
