Take an answer of an engine only with its signature, and an empty one only if it is whole

An item's text is an answer to its trainer, but SampleRunner took a success without looking at the signature, which live calls and streams ask for. Since it also took any clean end without an event for the end of a resumed text.

A success without a signature adds nothing; an answer to a resumed item that has no event counts as the end of the text only if it is framed, so that its end is the engine's own. The item is resumed elsewhere otherwise.

SampleRunnerTest: the two new cases were red with the former SampleRunner (Complete of 2 of 3 events; events of an unsigned answer read), 4 of 4 green after.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -86,7 +86,7 @@
     private inner class Reader(
         private val task: SampleTask,
         private val replica: Replica,
-        before: Transcript,
+        private val before: Transcript,
         private val onProgress: (Transcript) -> Unit,
     ) {
         var transcript: Transcript = before
@@ -101,12 +101,13 @@
                 UNPROCESSABLE -> return RunOutcome.Unprocessable
                 else -> return RunOutcome.Interrupted(transcript, "status ${answer.head.status}")
             }
+            if (answer.head.signature == null) return interrupted("a success without a signature")
             val weights = answer.head.weights
             if (weights != null && task.job.model.isNotEmpty()) {
                 tracker.versionObserved(replica, task.job.model, WeightVersion(weights))
             }
             // An engine that is asked to go on after the last event generates nothing, and names no version.
-            val mayBeEmpty = weights == null && transcript.lastEventNumber > 0
+            val mayBeEmpty = weights == null && before.lastEventNumber > 0
             if ((weights ?: 0) < task.job.minVersion && !mayBeEmpty) {
                 return RunOutcome.NotRun("the engine serves version ${weights ?: "unknown"}")
             }
@@ -124,13 +125,23 @@
                     completed.firstNotNullOfOrNull { accept(it.decodeToString()) }?.let { return it }
                     if (splitter.pending > MAX_EVENT_BYTES) return interrupted("an event is too long")
                 } else {
-                    val whole =
-                        part == BodyPart.End(clean = true) && splitter.pending == 0 && transcript.lastEventNumber > 0
-                    return if (whole) RunOutcome.Complete(transcript) else interrupted("the stream broke off")
+                    val isClean = part == BodyPart.End(clean = true) && splitter.pending == 0
+                    return if (isClean) ended(answer) else interrupted("the stream broke off")
                 }
             }
         }
 
+        private fun ended(answer: OpenedResponse): RunOutcome = when {
+            transcript.lastEventNumber > before.lastEventNumber -> RunOutcome.Complete(transcript)
+
+            transcript.lastEventNumber == 0L -> interrupted("the stream ended without an event")
+
+            // Nothing else tells an empty answer to a complete text from one that was cut after its head.
+            answer.endsWithConnection -> interrupted("the connection ended before an event")
+
+            else -> RunOutcome.Complete(transcript)
+        }
+
         private fun accept(text: String): RunOutcome? {
             val event = dialect.event(text) ?: return interrupted("an event cannot be read")
             val now = clock.now()
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -15,6 +15,7 @@
 import dev.vanillarun.hosted.target.TargetDialect
 import io.ktor.http.Headers
 import io.ktor.http.HeadersBuilder
+import io.ktor.http.HttpHeaders
 import io.ktor.http.headersOf
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
@@ -29,9 +30,14 @@
 
     /**
      * Streams events up to number [events], after the one that the request names; disconnects after event [breakAfter]
-     * if that is set.
+     * if that is set. The response ends with its connection unless it [isFramed], and has no [signature] if that is null.
      */
-    data class EventStream(val events: Long = 5, val breakAfter: Long? = null, val signature: String = "s") : Behaviour
+    data class EventStream(
+        val events: Long = 5,
+        val breakAfter: Long? = null,
+        val signature: String? = "s",
+        val isFramed: Boolean = true,
+    ) : Behaviour
 
     /** Opens a response and sends [chunk] each [interval] without end; the chunks complete no event. */
     data class Endless(val chunk: ByteArray, val interval: Duration = Duration.ZERO) : Behaviour
@@ -145,11 +151,12 @@
         val last = behaviour.breakAfter ?: behaviour.events
         val parts = ArrayDeque((first..last).map<Long, BodyPart> { BodyPart.Bytes("id: $it\n\n".encodeToByteArray()) })
         parts += BodyPart.End(clean = behaviour.breakAfter == null)
-        val headers = headersOf(
-            "id" to listOf(requestHeaders["id"].orEmpty()),
-            "signature" to listOf(behaviour.signature),
-        )
-        return TargetResponse(200, headers, ResponseBody { parts.removeFirst() })
+        val headers = HeadersBuilder().apply {
+            append("id", requestHeaders["id"].orEmpty())
+            behaviour.signature?.let { append("signature", it) }
+            if (behaviour.isFramed) append(HttpHeaders.TransferEncoding, "chunked")
+        }
+        return TargetResponse(200, headers.build(), ResponseBody { parts.removeFirst() })
     }
 
     private fun endless(behaviour: Behaviour.Endless, id: String): TargetResponse {
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SampleRunnerTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SampleRunnerTest.kt
@@ -33,9 +33,9 @@
 private const val EVENTS = 3L
 
 /** An engine that names no weight version in its responses, and a text of [received] events under version 2. */
-private class Resumption(received: Int) {
+private class Resumption(received: Int, stream: Behaviour.EventStream = Behaviour.EventStream(EVENTS)) {
     private val clock = ManualClock()
-    private val targets = FakeTargets().apply { behaviours["e:80"] = Behaviour.EventStream(EVENTS) }
+    private val targets = FakeTargets().apply { behaviours["e:80"] = stream }
     private val engine = Replica(TargetId("e"), "engines", "e:80", DataCentre("z"), slots = 1)
     private val before = Transcript(
         eventData = persistentListOf("a", "b", "c").subList(0, received).let { persistentListOf<String>().addAll(it) },
@@ -69,6 +69,22 @@
                 resumption.observedVersion shouldBe 2
             }
         }
+        // Guards against texts that are listed as complete though an engine cut its answer right after the head.
+        describe("an item that is resumed, and whose answer ends with its connection before any event") {
+            it("is interrupted, and keeps its events") {
+                val stream = Behaviour.EventStream(events = 2, isFramed = false)
+                val outcome = Resumption(received = 2, stream).run().shouldBeInstanceOf<RunOutcome.Interrupted>()
+                outcome.transcript.lastEventNumber shouldBe 2
+            }
+        }
+        // Guards against texts from an answer that nothing shows to be the engine's.
+        describe("a success without the signature of its engine") {
+            it("adds nothing to an item") {
+                val stream = Behaviour.EventStream(EVENTS, signature = null)
+                val outcome = Resumption(received = 2, stream).run().shouldBeInstanceOf<RunOutcome.Interrupted>()
+                outcome.transcript.lastEventNumber shouldBe 2
+            }
+        }
         describe("an engine that generates events and names no version") {
             it("gives none to an item that needs a newer one, neither from its beginning nor resumed") {
                 Resumption(received = 0).run().shouldBeInstanceOf<RunOutcome.NotRun>()
