--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -24,6 +24,7 @@
 import dev.vanillarun.daemon.agreement.LogFollower
 import dev.vanillarun.daemon.caller.Connections
 import dev.vanillarun.daemon.metrics.DaemonMetrics
+import dev.vanillarun.daemon.metrics.registerProcessorTime
 import dev.vanillarun.daemon.metrics.registerFaults
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
@@ -206,6 +207,7 @@
         metrics.registerRoom(jobs.rewards, live)
         metrics.registerCheckpoints(jobs.checkpoints)
         metrics.registerFaults(connections)
+        metrics.registerProcessorTime()
     }
 
     @Volatile
