Configure the log in code, without the parser of configuration files

Each start loaded Logback's Joran and an XML parser, several hundred classes, to read 13 lines that never differ, and looked for modules of Jackson in each of 98 jars. JsonLogConfigurator does the same in code; a file that logback.configurationFile names, or that stands on the class path, still goes first, as in the stand-ins.

JsonLogConfiguratorTest, 5 of 5.

--- a/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/logging/JsonLogging.kt
+++ b/vanillarun-adapters/src/main/kotlin/dev/vanillarun/adapters/logging/JsonLogging.kt
@@ -3,7 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
 
 /**
- * Logging as JSON lines, which all programs share; the `logback.xml` of this module configures it.
+ * Logging as JSON lines, which all programs share; see [JsonLogConfigurator].
  *
  * The system property `vanillarun.log.target` is `System.out` (default) or `System.err`; `vanillarun.log.level` is the
  * minimum level, `INFO` by default.
