Read the jobs rarely while nobody asks for any

Each of 88 instances read the jobs up to six times a second, as another wrote results, though callers ask each only now and then. An instance that runs no items, owns no slot and has not been asked for 2 s reads twice a second; a question ends the pause, so that what it lists is as fresh as before. Owners of slots still notice a submission within 150 ms.

How it grows: with 24 slots, 24 of N instances read as often as before, the others at most 2 calls a second each in place of 6.7. A view of the others may be 0.35 s older; what must be certain is confirmed with the store, as before.

JobBoardTest: 'lists a result that the store has when a caller asks for it' guards the question.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -24,8 +24,8 @@
 import dev.vanillarun.daemon.agreement.LogFollower
 import dev.vanillarun.daemon.caller.Connections
 import dev.vanillarun.daemon.metrics.DaemonMetrics
-import dev.vanillarun.daemon.metrics.registerProcessorTime
 import dev.vanillarun.daemon.metrics.registerFaults
+import dev.vanillarun.daemon.metrics.registerProcessorTime
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
 import dev.vanillarun.hosted.checkpoint.registerCheckpoints
@@ -90,9 +90,7 @@
     private val regions = settings.regionOf.values.toSet()
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events, regions)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
-    private val board: JobBoard = JobBoard(ports.store, clock, events) {
-        if (jobs.runner.isBusy) JobBoard.RunnerPace else JobBoard.ReaderPace
-    }
+    private val board: JobBoard = JobBoard(ports.store, clock, events) { jobs.boardPace }
     private val usageBoard: UsageBoard = UsageBoard(ports.store, clock, events, reporting = { duty.heldTerm != null })
 
     private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer, events)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
@@ -21,6 +21,7 @@
 import dev.vanillarun.hosted.job.SlotMembership
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.store.DurableAppender
+import dev.vanillarun.hosted.store.ReadPace
 import dev.vanillarun.hosted.target.TargetTracker
 
 /** Views that the runner of jobs reads. */
@@ -36,7 +37,7 @@
 internal class JobSubsystem(
     settings: HostedSettings,
     ports: HostedPorts,
-    views: JobInputs,
+    private val views: JobInputs,
     targets: TargetAccess,
     live: LiveForwarder,
     writer: String,
@@ -106,4 +107,15 @@
         wallClock = wallClock,
         events = events,
     )
+
+    /** How often this instance has to read the jobs, by what it does with them. */
+    val boardPace: ReadPace
+        get() = when {
+            runner.isBusy -> JobBoard.RunnerPace
+            ownsSlots || views.board.isRead -> JobBoard.ReaderPace
+            else -> JobBoard.IdlePace
+        }
+
+    private val ownsSlots: Boolean
+        get() = listOfNotNull(slots, regional?.slots).any { it.grant.value.slots.isNotEmpty() }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.core.store.StoredTopicRecord
 import dev.vanillarun.core.store.TopicLog
 import dev.vanillarun.core.store.TopicName
+import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
@@ -24,6 +25,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Result of a lookup in a view of the store that may be stale. */
 internal sealed interface LookupResult<out T> {
@@ -49,12 +51,18 @@
  */
 internal class JobBoard(
     log: TopicLog,
-    clock: MonotonicClock,
+    private val clock: MonotonicClock,
     private val events: EventRecorder,
     pace: () -> ReadPace = { RunnerPace },
 ) : TopicSink {
     private val current = MutableStateFlow(JobTable())
 
+    @Volatile
+    private var readAt: Instant? = null
+
+    /** True while callers read results here. */
+    val isRead: Boolean get() = readAt?.let { clock.now() - it < READER_ABSENCE } ?: false
+
     /** Follows the jobs topic and feeds its records to this view. */
     val follower = TopicFollower(log, Topic, this, clock, events, JobRecordCodec.CONTENT_END, pace)
 
@@ -123,6 +131,8 @@
 
     /** Returns the results of [id] from position [after] on; waits up to [wait] if there is none yet. */
     suspend fun results(id: JobId, after: Int, wait: Duration): LookupResult<ResultPage> {
+        if (!isRead) follower.refresh()
+        readAt = clock.now()
         val found = when (val lookup = find(id)) {
             is LookupResult.Found -> lookup.value
             else -> return if (lookup == LookupResult.Absent) LookupResult.Absent else LookupResult.Unknown
@@ -191,6 +201,12 @@
         /** Pace of an instance that only answers reads of jobs; callers read about twice per second. */
         val ReaderPace = ReadPace(interval = 150.milliseconds)
 
+        /** Pace of an instance that neither runs items nor answers reads; a read ends the pause. */
+        val IdlePace = ReadPace(interval = 500.milliseconds)
+
+        /** Time without a read after which no caller is taken to follow a job here: four of their intervals. */
+        private val READER_ABSENCE = 2.seconds
+
         /** Timeout for catching up with the store when a job is not in the local view. */
         private val LOOKUP_TIMEOUT = 600.milliseconds
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/store/TopicFollower.kt
@@ -164,6 +164,11 @@
         events.record(name, EventLinks(), attributes + mapOf("topic" to topic.value, "elapsed_ms" to "$elapsed"))
     }
 
+    /** Ends the pause before the next read. */
+    fun refresh() {
+        awaited.trySend(Unit)
+    }
+
     /**
      * Reads the end of the topic from the store and waits until the sink has received every record before it. Returns
      * false after [timeout], or if the read fails or does not reach the end.
@@ -173,7 +178,7 @@
         val sentAt = clock.now()
         when (val read = log.read(topic, from, Duration.ZERO, silence.current)) {
             is TopicReadResult.Page -> {
-                if (state.value.next < read.next) awaited.trySend(Unit)
+                if (state.value.next < read.next) refresh()
                 state.first { it.next >= read.next }
                 (read.next >= read.end).also { if (it) markCaughtUp(sentAt) }
             }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/JobBoardTest.kt
@@ -16,6 +16,7 @@
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.hosted.fake.FakeTopicLog
 import dev.vanillarun.hosted.fake.ManualClock
+import dev.vanillarun.hosted.store.ReadPace
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -28,6 +29,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -57,6 +59,33 @@
             coroutineContext.cancelChildren()
         }
 
+        describe("an instance that reads the jobs rarely, as nobody asks it for any") {
+            // Guards against results that a caller waits for while the instance is between two reads.
+            it("lists a result that the store has when a caller asks for it") {
+                val log = FakeTopicLog()
+                log.write(JobRecord.Submitted(job))
+                coroutineScope {
+                    val board = JobBoard(log, SystemClock, NoOpEventRecorder) { ReadPace(interval = 1.hours) }
+                    launch { board.follower.run() }
+                    launch { board.content.run() }
+                    board.follower.state.first { it.ready }
+                    log.write(finished(1))
+                    val read = board.results(id, after = 0, wait = 5.seconds)
+                    read.shouldBeInstanceOf<LookupResult.Found<ResultPage>>().value.results.size shouldBe 1
+                    coroutineContext.cancelChildren()
+                }
+            }
+            it("counts as read until two seconds after the last question") {
+                val clock = ManualClock()
+                val board = JobBoard(FakeTopicLog(), clock, NoOpEventRecorder)
+                board.isRead shouldBe false
+                withTimeoutOrNull(50.milliseconds) { board.results(id, after = 0, wait = Duration.ZERO) }
+                board.isRead shouldBe true
+                clock.advance(2.seconds)
+                board.isRead shouldBe false
+            }
+        }
+
         describe("an instance that did not take the job itself") {
             it("finds it once the store has it") {
                 val log = FakeTopicLog()
