Let the holder of the duty read the jobs as before

It times the loads of weights and the size of the fleet by the open jobs, so a view that is half a second older could order loads into a step.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -90,7 +90,7 @@
     private val regions = settings.regionOf.values.toSet()
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events, regions)
     private val replicas = ReplicaSource(ports.store, ports.codec, clock, events)
-    private val board: JobBoard = JobBoard(ports.store, clock, events) { jobs.boardPace }
+    private val board: JobBoard = JobBoard(ports.store, clock, events) { jobs.boardPace(duty.heldTerm != null) }
     private val usageBoard: UsageBoard = UsageBoard(ports.store, clock, events, reporting = { duty.heldTerm != null })
 
     private val usageAppender = DurableAppender(ports.store, UsageBoard.Topic, writer, events)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
@@ -108,13 +108,12 @@
         events = events,
     )
 
-    /** How often this instance has to read the jobs, by what it does with them. */
-    val boardPace: ReadPace
-        get() = when {
-            runner.isBusy -> JobBoard.RunnerPace
-            ownsSlots || views.board.isRead -> JobBoard.ReaderPace
-            else -> JobBoard.IdlePace
-        }
+    /** How often this instance has to read the jobs, by what it does with them; [holdsDuty] if it times loads by them. */
+    fun boardPace(holdsDuty: Boolean): ReadPace = when {
+        runner.isBusy -> JobBoard.RunnerPace
+        holdsDuty || ownsSlots || views.board.isRead -> JobBoard.ReaderPace
+        else -> JobBoard.IdlePace
+    }
 
     private val ownsSlots: Boolean
         get() = listOfNotNull(slots, regional?.slots).any { it.grant.value.slots.isNotEmpty() }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobBoard.kt
@@ -201,7 +201,7 @@
         /** Pace of an instance that only answers reads of jobs; callers read about twice per second. */
         val ReaderPace = ReadPace(interval = 150.milliseconds)
 
-        /** Pace of an instance that neither runs items nor answers reads; a read ends the pause. */
+        /** Pace of an instance that neither runs items, decides by them nor answers reads; a read ends the pause. */
         val IdlePace = ReadPace(interval = 500.milliseconds)
 
         /** Time without a read after which no caller is taken to follow a job here: four of their intervals. */
