Abort old items only when they are old by any clock

JobRunner compared its own time of day with that of the instance which took the job; clocks of instances differ, so a runner ahead of the other aborted items too early. Nothing has to be aborted at that time, so it waits 2 s longer now.

ExpiredItemsTest: 3 of 4 cases red before (1 ms, 500 ms and 1.9 s ahead: ABORTED for COMPLETED), 4 of 4 green after.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -190,8 +190,7 @@
             running[key] = ActiveRun(work, engine = null, task, clock.now())
             return
         }
-        val expired = route.jobRetention?.let { wallClock() > job.submittedAt + it.inWholeMilliseconds } ?: false
-        val end = if (expired) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
+        val end = if (isExpired(job, route)) Conclusion.ABORT else Conclusion.SCORE.takeIf { known.complete }
         if (end != null) {
             val work = scope.launch { guarded(task) { conclude(task, end, known.transcript) } }
             running[key] = ActiveRun(work, engine = null, task, clock.now())
@@ -207,6 +206,11 @@
         running[key] = ActiveRun(work, engine.id, task, clock.now())
     }
 
+    /** True if [job] is too old by any clock: another instance may have dated its submission. */
+    private fun isExpired(job: Job, route: CatalogRoute): Boolean = route.jobRetention?.let {
+        wallClock() > job.submittedAt + (it + MAX_CLOCK_DIFFERENCE).inWholeMilliseconds
+    } ?: false
+
     /** Runs [work] on [task]; an unexpected error ends this run only, and the item is tried again after a delay. */
     @Suppress("TooGenericExceptionCaught") // Any defect that one item brings to light.
     private suspend fun guarded(task: SampleTask, work: suspend () -> Unit) = try {
@@ -318,6 +322,9 @@
     }
 
     private companion object {
+        /** Most by which the time of day of two instances differs. */
+        val MAX_CLOCK_DIFFERENCE = 2.seconds
+
         /** Maximum time between scheduling rounds; a backoff or a retention ends without a notification. */
         val POLL_INTERVAL = 100.milliseconds
 
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -68,6 +68,7 @@
     private val scorers: Int,
     private val dataCentres: List<String> = listOf("z"),
     private val keepsRuns: Boolean = false,
+    jobRetention: Duration? = null,
 ) {
     val log = FakeTopicLog()
     val targets = FakeTargets()
@@ -78,6 +79,7 @@
         EventId(InstanceId("i"), Incarnation("r"), recorded.size.toLong())
     }
     private val board = JobBoard(log, clock, events)
+    private val codec = FixtureCodec(jobRetention)
 
     val now: Duration get() = scope.currentTime.milliseconds
 
@@ -87,8 +89,8 @@
         repeat(engines) { FakeCodec.announce(log, "e$it", "$ENGINES ready ${dataCentres[it % dataCentres.size]}") }
         repeat(scorers) { FakeCodec.announce(log, "s$it", "$SCORERS ready") }
         log.put(FakeCodec.operatorTopic, TopicRecord("catalog", byteArrayOf()))
-        val catalog = CatalogSource(log, FixtureCodec, clock, events)
-        val replicas = ReplicaSource(log, FixtureCodec, clock, events)
+        val catalog = CatalogSource(log, codec, clock, events)
+        val replicas = ReplicaSource(log, codec, clock, events)
         val tracker = TargetTracker(clock)
         val placement = PlacementBoard(log, tracker, clock, events)
         val appender = DurableAppender(log, JobBoard.Topic, "jobs", NoOpEventRecorder)
@@ -169,7 +171,7 @@
     fun sends(item: JobItem, since: Duration = Duration.ZERO): List<Duration> =
         recorded.filter { it.name == "item.sent" && it.item == item.id.value && it.at >= since }.map { it.at }
 
-    private object FixtureCodec : CatalogCodec by FakeCodec {
+    private class FixtureCodec(private val jobRetention: Duration?) : CatalogCodec by FakeCodec {
         override fun operatorRecord(key: String, value: ByteArray): OperatorRecord {
             if (key != "catalog") return FakeCodec.operatorRecord(key, value)
             val routes = listOf(route(ENGINES, "/gen/"), route(SCORERS, "/score/"))
@@ -185,6 +187,7 @@
             timeout = 2.seconds,
             objective = 1.seconds,
             maxAttempts = 3,
+            jobRetention = jobRetention,
         )
     }
 
@@ -210,5 +213,6 @@
     scorers: Int = 3,
     dataCentres: List<String> = listOf("z"),
     keepsRuns: Boolean = false,
+    jobRetention: Duration? = null,
     test: suspend RunnerFixture.() -> Unit,
-) = runTest { RunnerFixture(this, engines, scorers, dataCentres, keepsRuns).apply { start() }.test() }
+) = runTest { RunnerFixture(this, engines, scorers, dataCentres, keepsRuns, jobRetention).apply { start() }.test() }
