--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -20,6 +20,7 @@
 import dev.vanillarun.hosted.target.MAX_EVENT_BYTES
 import dev.vanillarun.hosted.target.OpenedResponse
 import dev.vanillarun.hosted.target.OutgoingRequest
+import dev.vanillarun.hosted.target.ResponseHead
 import dev.vanillarun.hosted.target.SendResult
 import dev.vanillarun.hosted.target.TargetDialect
 import dev.vanillarun.hosted.target.TargetGateway
@@ -95,13 +96,7 @@
 
         suspend fun read(answer: OpenedResponse, activity: Activity): RunOutcome {
             activity.received()
-            when (answer.head.status) {
-                OK -> Unit
-                SERVER_ERROR -> return RunOutcome.Failed
-                UNPROCESSABLE -> return RunOutcome.Unprocessable
-                else -> return RunOutcome.Interrupted(transcript, "status ${answer.head.status}")
-            }
-            if (answer.head.signature == null) return interrupted("a success without a signature")
+            failure(answer.head)?.let { return it }
             val weights = answer.head.weights
             if (weights != null && task.job.model.isNotEmpty()) {
                 tracker.versionObserved(replica, task.job.model, WeightVersion(weights))
@@ -115,6 +110,15 @@
             return events(answer, activity)
         }
 
+        /** Outcome of a run whose answer has [head]; null if that begins a stream of the engine. */
+        private fun failure(head: ResponseHead): RunOutcome? = when {
+            head.status == SERVER_ERROR -> RunOutcome.Failed
+            head.status == UNPROCESSABLE -> RunOutcome.Unprocessable
+            head.status != OK -> interrupted("status ${head.status}")
+            head.signature == null -> interrupted("a success without a signature")
+            else -> null
+        }
+
         private suspend fun events(answer: OpenedResponse, activity: Activity): RunOutcome {
             val splitter = EventSplitter()
             while (true) {
