Spare the pattern for status lines in heads as well

Each head of a response was searched for a second status line by a case-insensitive pattern at each character, interpreted for the first few hundred responses of a process. Same test first as for bodies. The laws of StatusLineCheckTest hold; what it saves was not measured by itself.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineCheck.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineCheck.kt
@@ -10,9 +10,23 @@
  */
 public fun statusLineFault(text: String): HeadFault? = when {
     FirstLine.matchAt(text, 0) == null -> HeadFault.NoStatusLine(text.lineSequence().first().take(SHOWN_CHARACTERS))
+    !mayHoldStatusLine(text, from = 1) -> null
     else -> StatusLine.find(text, startIndex = 1)?.let { HeadFault.SecondStatusLine(text.lineNumber(it.range.first)) }
 }
 
+/** Tells texts that name no protocol from index [from] on, nearly all, at a fraction of the cost of [StatusLine]. */
+internal fun mayHoldStatusLine(text: String, from: Int = 0): Boolean {
+    var slash = text.indexOf('/', from)
+    while (slash >= 0) {
+        val start = slash - PROTOCOL.length
+        if (start >= from && text.regionMatches(start, PROTOCOL, 0, PROTOCOL.length, ignoreCase = true)) return true
+        slash = text.indexOf('/', slash + 1)
+    }
+    return false
+}
+
+private const val PROTOCOL = "HTTP"
+
 private fun String.lineNumber(index: Int): Int = 1 + substring(0, index).count { it == '\n' }
 
 /** Enough of a first line to recognize what was sent. */
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineSearch.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/StatusLineSearch.kt
@@ -20,19 +20,7 @@
     public fun foundBefore(next: String): Boolean =
         found || StatusLine.find(tail + next.take(MAX_CHARACTERS))?.let { it.range.first < tail.length } == true
 
-    /** Tells the texts without a protocol name, nearly all, from others at a fraction of the cost of the pattern. */
-    private fun mayHoldStatusLine(text: String): Boolean {
-        var at = text.indexOf('/')
-        while (at >= 0) {
-            if (text.regionMatches(at - PROTOCOL.length, PROTOCOL, 0, PROTOCOL.length, ignoreCase = true)) return true
-            at = text.indexOf('/', at + 1)
-        }
-        return false
-    }
-
     private companion object {
-        const val PROTOCOL = "HTTP"
-
         /** More than the beginning of a status line takes. */
         const val MAX_CHARACTERS = 32
     }
