--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/JobSubsystem.kt
@@ -108,7 +108,7 @@
         events = events,
     )
 
-    /** How often this instance has to read the jobs, by what it does with them; [holdsDuty] if it times loads by them. */
+    /** How often this instance has to read the jobs; more often if it [holdsDuty], since it times loads by them. */
     fun boardPace(holdsDuty: Boolean): ReadPace = when {
         runner.isBusy -> JobBoard.RunnerPace
         holdsDuty || ownsSlots || views.board.isRead -> JobBoard.ReaderPace
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RewardFailuresTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RewardFailuresTest.kt
@@ -25,7 +25,7 @@
 
 class RewardFailuresTest :
     DescribeSpec({
-        // Guards against items that are given up for answers that are no failure of their reward call, as 504 when late.
+        // Guards against items that are given up for answers that do not say that their reward call failed, as 504.
         describe("items whose reward calls get server errors other than 500") {
             withData(nameFn = { "are not given up for status $it" }, 501, 502, 503, 504, 507, 599) { status ->
                 withRunner { statesAfter(Behaviour.Response(status)) shouldBe setOf(ItemState.COMPLETED) }
