--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -30,7 +30,7 @@
 
     /**
      * Streams events up to number [events], after the one that the request names; disconnects after event [breakAfter]
-     * if that is set. The response ends with its connection unless it [isFramed]; it has no [signature] if that is null.
+     * if that is set. The response ends with its connection unless it [isFramed]; [signature] is left out if null.
      */
     data class EventStream(
         val events: Long = 5,
