--- a/review/standin-2/Server.java
+++ b/review/standin-2/Server.java
@@ -30,6 +30,16 @@
         }
     }
 
+    /** What has become of a request at all servers together. */
+    static final class Fate {
+        int active;
+        long leftAt = -1;
+        boolean finished;
+    }
+
+    /** Requests that have begun to run, by id. */
+    static final Map<String, Fate> FATES = new ConcurrentHashMap<>();
+
     private static final int LOAD_MS = 900;
     final String id;
     final String service;
@@ -154,12 +164,34 @@
             runs.computeIfAbsent(requestId, it -> new AtomicInteger()).incrementAndGet();
             record.add(id + " runs " + requestId + " " + request.first + " after "
                 + request.fields.getOrDefault("Last-Event-Id", "0") + " version " + version);
-            if (model == null) plain(request, connection); else stream(request, connection);
+            follow(requestId, fate -> fate.active++);
+            try {
+                if (model == null) plain(request, connection); else stream(request, connection);
+                follow(requestId, fate -> fate.finished = true);
+            } finally {
+                follow(requestId, fate -> {
+                    fate.active--;
+                    fate.leftAt = record.now();
+                });
+            }
         } finally {
             running.decrementAndGet();
         }
     }
 
+    /** Number of requests that run here. */
+    int running() {
+        return running.get();
+    }
+
+    private static void follow(String requestId, java.util.function.Consumer<Fate> change) {
+        FATES.compute(requestId, (id, known) -> {
+            Fate fate = known == null ? new Fate() : known;
+            change.accept(fate);
+            return fate;
+        });
+    }
+
     private void plain(Http.Message request, Http.Connection connection) throws Exception {
         Thread.sleep(conduct.workMs(request));
         Map<String, String> fields = fields(request);
