--- a/review/standin-2/Server.java
+++ b/review/standin-2/Server.java
@@ -184,7 +184,7 @@
         return running.get();
     }
 
-    private static void follow(String requestId, java.util.function.Consumer<Fate> change) {
+    static void follow(String requestId, java.util.function.Consumer<Fate> change) {
         FATES.compute(requestId, (id, known) -> {
             Fate fate = known == null ? new Fate() : known;
             change.accept(fate);
--- a/review/standin-2/Trainer.java
+++ b/review/standin-2/Trainer.java
@@ -79,7 +79,10 @@
         while (true) {
             Http.Message answer =
                 Http.call(front, "GET", "/v1/lots/" + job + "?after=" + all.size(), fields(), new byte[0], 8000);
-            if (answer == null || answer.status() != 200) return null;
+            if (answer == null || answer.status() != 200) {
+                record.add("read " + job + " -> " + (answer == null ? "no answer" : answer.first));
+                return null;
+            }
             List<Object> page = (List<Object>) Json.object(answer.text()).get("results");
             if (page.isEmpty()) return all;
             page.forEach(result -> all.add((Map<String, Object>) result));
