--- a/review/rig/Burst.java
+++ b/review/rig/Burst.java
@@ -50,6 +50,8 @@
         Thread.sleep(15_000);
         for (long end = System.nanoTime() + 8_500_000_000L; System.nanoTime() < end && clients.stream().anyMatch(Thread::isAlive);) Thread.sleep(100);
         rig.record(rig.now() + " the clients have stopped: " + new TreeMap<>(answers) + ", processes over memory-mb " + ends);
+        watch.interrupt();
+        watch.join();
         Thread.sleep(12_000); // recover-s
         int unanswered = 0, asked = 0, atTimeout = 0;
         for (Rig.Node n : rig.nodes) {
