--- a/review/rig/Burst.java
+++ b/review/rig/Burst.java
@@ -65,8 +65,8 @@
             }
             for (Thread t : callers) t.join();
             // Only connections that are open, without an answer, until half a second after timeout-ms count.
-            int none = (int) small.stream().filter(a -> a.status == 0 && a.ms >= TIMEOUT_MS + 490).count(), ready = 0;
-            int closed = (int) small.stream().filter(a -> a.status == 0 && a.ms < TIMEOUT_MS + 490).count();
+            int none = (int) small.stream().filter(a -> a.status == 0 && a.ms >= TIMEOUT_MS + 500).count(), ready = 0;
+            int closed = (int) small.stream().filter(a -> a.status == 0 && a.ms < TIMEOUT_MS + 500).count();
             for (int i = 0; i < 3; i++) if (n.isReady()) ready++;
             asked += 10;
             atTimeout += (int) small.stream().filter(a -> a.ms >= TIMEOUT_MS).count();
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -333,6 +333,7 @@
         Node(String name, int index) throws IOException { this.name = name; ip = "127.0.0." + (10 + index); front = free(ip); ready = free(ip); }
         String address() { return ip + ":" + front; }
         void start() throws IOException {
+            if (stopping) return;
             Path settings = work.resolve(name + ".toml");
             Files.writeString(settings, "instance = \"" + name + "\"\ndata_centre = \"z1\"\ncaller_address = \"" + ip + ":" + front + "\"\nready_address = \"" + ip + ":" + ready + "\"\nadmin_address = \"" + ip + ":" + free(ip) + "\"\nregion = \"r1\"\n[hosting]\nstore = \"" + store.server.address() + "\"\ncontrol = \"" + store.cloud.address() + "\"\nslots = 12\nusage_window_s = 5\nlease_ms = 3000\ngrace_s = 8\ndrain_ms = 2000\nouter_ms = 5000\nconfig_ms = 2000\n[regions]\n\"z1\" = \"r1\"\n");
             String run = null;
@@ -377,7 +378,11 @@
     }
     Answer results(Node n, String id, int after, int timeoutMs) { return call(n.address(), "GET", "/v1/lots/" + id + "?after=" + after, "shop.example", null, timeoutMs, "Authorization", "Bearer key-a", "Wait-Ms", "1000"); }
     Answer end(Node n, String id) { return call(n.address(), "DELETE", "/v1/lots/" + id, "shop.example", null, 4000, "Authorization", "Bearer key-a"); }
+    /** True once the script ends: no process is started any more. */
+    volatile boolean stopping;
+
     void stop() {
+        stopping = true;
         for (Node n : nodes) if (n.process != null && n.process.isAlive()) n.process.destroyForcibly();
         for (Node n : nodes) if (n.process != null) try { n.process.waitFor(5, TimeUnit.SECONDS); } catch (InterruptedException e) { }
     }
