Confirm the end of a text that an answer without events shows

Cause: a run that resumes after event n and brings no event was taken for the proof that the text has n events. An engine answers alike if the text is shorter: it proves only that there is no event n + 1.

Change: such a run is followed by one that resumes after event n - 1 at the same engine. If that brings event n, the text is complete; if it brings none, what was received is not the text, and the item begins anew. It costs one event for items whose stream broke off between its last event and its end. To leave an event out, a text knows the weight versions of its earlier events, which the saved texts name as well; older builds ignore the field.

OverflowingTextsTest and SampleRunnerTest failed before: the text held the events beyond its end. In SampleRunnerTest the engine of the first case now names the version under which it generates, as engines do; what the case asserts is unchanged.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
@@ -52,6 +52,8 @@
     public val versions: Set<Long>,
     /** Weight version of the last event. */
     public val currentVersion: Long,
+    /** Weight versions that generated the text before its last event; null if that is not known. */
+    public val earlierVersions: Set<Long>? = null,
 ) {
     /** Encodes the part for the store. */
     public fun encode(): ByteArray = Json.encodeToString(serializer(), this).encodeToByteArray()
@@ -99,5 +101,11 @@
             last = part
         }
     }
-    return last?.run { Transcript(text.toPersistentList(), versions.toPersistentSet(), currentVersion) } ?: Transcript()
+    return last?.toTranscript(text) ?: Transcript()
+}
+
+/** The text of [events], which end with those of this part. */
+private fun TextPart.toTranscript(events: List<String>): Transcript {
+    val whole = Transcript(events.toPersistentList(), versions.toPersistentSet(), currentVersion)
+    return earlierVersions?.let { whole.copy(earlierVersions = it.toPersistentSet()) } ?: whole
 }
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Transcript.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Transcript.kt
@@ -55,6 +55,8 @@
     public val currentVersion: Long = 0,
     /** Number of characters of [eventData] with a line feed after each event. */
     public val length: Long = eventData.sumOf { it.length + 1L },
+    /** [versions] of the events before the last one; null if that is not known. */
+    public val earlierVersions: PersistentSet<Long>? = versions.takeIf { it.size <= 1 },
 ) {
     /** Number of the last received event; 0 if there is none. */
     public val lastEventNumber: Long get() = eventData.size.toLong()
@@ -68,6 +70,13 @@
     /** True if [text] exceeds [MAX_LENGTH]. */
     public val isTooLong: Boolean get() = length - 1 > MAX_LENGTH
 
+    /** Returns the transcript without its last event; null if it has none, or if the versions of the rest are unknown. */
+    public fun withoutLastEvent(): Transcript? {
+        val remaining = earlierVersions ?: return null
+        if (eventData.isEmpty()) return null
+        return Transcript(eventData.removeAt(eventData.lastIndex), remaining, currentVersion)
+    }
+
     /**
      * Appends [event] if its number is the next one, its weight version is at least [minVersion], with [singleVersion]
      * all events have the same version, and the text is not longer than [MAX_LENGTH].
@@ -79,6 +88,7 @@
             versions = versions.add(version),
             currentVersion = version,
             length = length + event.data.length + 1,
+            earlierVersions = versions,
         )
         val fault = when {
             event.number != lastEventNumber + 1 -> EventFault.OUT_OF_ORDER
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/checkpoint/SavedTextTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/checkpoint/SavedTextTest.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.job.JobId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
 import io.kotest.property.arbitrary.bind
@@ -55,6 +56,15 @@
                 savedTexts(mapOf(key(1) to part("a"), key(3) to part("c"))).getValue(item)
                     .transcript.eventData shouldBe listOf("a")
             }
+            // Guards against long texts that begin anew where only their end has to be confirmed after a takeover.
+            it("know the versions of the events before the last one, unless an older build has saved them") {
+                val part =
+                    TextPart(listOf("a", "b"), versions = setOf(1, 2), currentVersion = 2, earlierVersions = setOf(1))
+                fun shortened(part: TextPart) =
+                    savedTexts(mapOf(key(1) to part)).getValue(item).transcript.withoutLastEvent()
+                shortened(TextPart.decode(part.encode()).shouldNotBeNull())?.versions shouldBe setOf(1L)
+                shortened(part.copy(earlierVersions = null)) shouldBe null
+            }
             it("are none without parts") { savedTexts(emptyMap()).shouldBeEmpty() }
         }
         describe("the key of a part") {
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/TranscriptTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/job/TranscriptTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
@@ -12,6 +13,8 @@
 import io.kotest.property.arbitrary.long
 import io.kotest.property.arbitrary.orNull
 import io.kotest.property.checkAll
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
 
 private val events = Arb.bind(Arb.long(1L..6L), Arb.long(1L..4L).orNull(0.5)) { number, version ->
     SampleEvent(number, "piece $number", version)
@@ -67,6 +70,21 @@
                 text.isTooLong shouldBe false
             }
         }
+        it("without its last event is what it was before that") {
+            checkAll(Arb.list(Arb.long(1L..4L), 1..20)) { versions ->
+                val all = versions.mapIndexed { at, version -> SampleEvent(at + 1L, "piece", version) }
+                val before = feed(all.dropLast(1), min = 0, single = false)
+                val shortened = feed(all, min = 0, single = false).withoutLastEvent().shouldNotBeNull()
+                shortened.eventData shouldBe before.eventData
+                shortened.versions shouldBe before.versions
+                shortened.length shouldBe before.length
+            }
+        }
+        it("without its last event is unknown if it was read back with several versions") {
+            val read = Transcript(persistentListOf("a", "b"), persistentSetOf(1, 2), currentVersion = 2)
+            read.withoutLastEvent() shouldBe null
+            Transcript().withoutLastEvent() shouldBe null
+        }
         it("joins the data of the events with line feeds") {
             feed(listOf(SampleEvent(1, "a"), SampleEvent(2, "b")), 0, false).text shouldBe "a\nb"
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/checkpoint/ProgressSaver.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/checkpoint/ProgressSaver.kt
@@ -124,7 +124,8 @@
 
     private fun record(growing: GrowingText, number: Int, first: Long): TopicRecord {
         val text = growing.transcript
-        val part = TextPart(text.eventData.drop(first.toInt() - 1), text.versions, text.currentVersion)
+        val events = text.eventData.drop(first.toInt() - 1)
+        val part = TextPart(events, text.versions, text.currentVersion, text.earlierVersions)
         return TopicRecord("${TextPartKey(growing.job, growing.item, self, number, first)}", part.encode())
     }
 
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -58,7 +58,8 @@
     data class Incompatible(val reason: String) : RunOutcome
 
     /**
-     * What was received is too long for a text. Which part of it is sound is unknown, so the item restarts from scratch.
+     * What was received is too long for a text, or goes on beyond the end of the item's text. Which part of it is sound
+     * is unknown, so the item restarts from scratch.
      */
     data class Overflowed(val reason: String) : RunOutcome
 
@@ -188,6 +189,41 @@
         replica: Replica,
         before: Transcript,
         onProgress: (Transcript) -> Unit = {},
+    ): RunOutcome {
+        val outcome = runOnce(task, replica, before, onProgress)
+        val isUnconfirmed = outcome is RunOutcome.Complete && outcome.transcript.eventData.size == before.eventData.size
+        return if (isUnconfirmed) confirmEnd(task, replica, before, onProgress) else outcome
+    }
+
+    /**
+     * Confirms that the text of [task] ends with [received], after which [replica] has generated no event. Engines
+     * answer alike if the text ended earlier, so this one has to generate the last event again.
+     */
+    private suspend fun confirmEnd(
+        task: SampleTask,
+        replica: Replica,
+        received: Transcript,
+        onProgress: (Transcript) -> Unit,
+    ): RunOutcome {
+        val shortened = received.withoutLastEvent() ?: return RunOutcome.Overflowed("an end that cannot be confirmed")
+        val outcome = runOnce(task, replica, shortened, onProgress)
+        val events = when (outcome) {
+            is RunOutcome.Complete -> outcome.transcript.lastEventNumber
+            is RunOutcome.Interrupted -> outcome.transcript.lastEventNumber
+            else -> return outcome
+        }
+        return when {
+            events >= received.lastEventNumber -> outcome
+            outcome is RunOutcome.Interrupted -> outcome.copy(transcript = received)
+            else -> RunOutcome.Overflowed("events beyond the end of the text")
+        }
+    }
+
+    private suspend fun runOnce(
+        task: SampleTask,
+        replica: Replica,
+        before: Transcript,
+        onProgress: (Transcript) -> Unit,
     ): RunOutcome {
         val reader = Reader(task, replica, before, onProgress)
         val sent = withStallLimit(STALL_TIMEOUT, clock) { activity ->
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/OverflowingTextsTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/OverflowingTextsTest.kt
@@ -36,5 +36,16 @@
                         .maxOf { it.groupValues[1].toLong() } shouldBeLessThan 5 + 32
                 }
             }
+
+            // Guards against texts that are listed with what a faulty engine has sent beyond their end.
+            it("adds nothing to the items if it breaks off soon") {
+                withRunner(engines = 2) {
+                    targets.behaviours["e0:80"] = Behaviour.Overflow(excessData = 10, excessEvents = 3)
+                    submit("j", items("i", 8))
+                    awaitEvent { it.name == "item.run_ended" && "interrupted" in it.attributes.getValue("end") }
+                    setEngines(Behaviour.EventStream())
+                    shouldListWholeTexts("j", count = 8)
+                }
+            }
         }
     })
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SampleRunnerTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/SampleRunnerTest.kt
@@ -62,7 +62,7 @@
         // Items whose last event had come, but not the end of their stream, were sent in vain up to 113 times.
         describe("an item that is resumed after its last event, at an engine that names no version then") {
             it("is complete, with the versions of its events") {
-                val resumption = Resumption(received = EVENTS.toInt())
+                val resumption = Resumption(received = EVENTS.toInt(), Behaviour.EventStream(EVENTS, weights = 2))
                 val outcome = resumption.run().shouldBeInstanceOf<RunOutcome.Complete>()
                 outcome.transcript.lastEventNumber shouldBe EVENTS
                 outcome.transcript.versions shouldBe setOf(2L)
@@ -85,6 +85,20 @@
                 outcome.transcript.lastEventNumber shouldBe 2
             }
         }
+        describe("an item that is resumed beyond the end of its text") {
+            // Guards against texts that are complete with what a faulty engine has sent beyond their end.
+            it("is not complete, and keeps none of its events") {
+                val stream = Behaviour.EventStream(events = 1, weights = 2)
+                Resumption(received = 3, stream).run().shouldBeInstanceOf<RunOutcome.Overflowed>()
+            }
+        }
+        describe("an item whose end is confirmed by an engine that breaks off") {
+            it("keeps its events") {
+                val stream = Behaviour.EventStream(events = 3, breakAfter = 2, weights = 2)
+                val outcome = Resumption(received = 2, stream).run().shouldBeInstanceOf<RunOutcome.Interrupted>()
+                outcome.transcript.lastEventNumber shouldBe 2
+            }
+        }
         describe("an engine that generates events and names no version") {
             it("gives none to an item that needs a newer one, neither from its beginning nor resumed") {
                 Resumption(received = 0).run().shouldBeInstanceOf<RunOutcome.NotRun>()
