Do not take over saved texts that are too long

Related path of the unbounded texts: runners save the texts of unfinished items, and the next owner of a job went on after them whatever their length. An instance of an older build may still save such a text while the fleet is updated.

Change: a saved text beyond the bound counts as empty, and the longest one within it is taken. The new case of SavedTextTest failed without the change.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
@@ -81,7 +81,10 @@
     public val runners: Set<RunnerId>,
 )
 
-/** Returns the longest text of each item in [parts]: consecutive parts of one text of one runner, from event 1 on. */
+/**
+ * Returns the longest text of each item in [parts]: consecutive parts of one text of one runner, from event 1 on. A text
+ * that is too long is not the item's, and counts as empty.
+ */
 public fun savedTexts(parts: Map<TextPartKey, TextPart>): Map<ItemId, SavedText> =
     parts.entries.groupBy { it.key.item }.mapValues { (_, ofItem) ->
         val texts = ofItem.groupBy {
@@ -101,7 +104,8 @@
             last = part
         }
     }
-    return last?.toTranscript(text) ?: Transcript()
+    val joined = last?.toTranscript(text)
+    return joined?.takeUnless { it.isTooLong } ?: Transcript()
 }
 
 /** The text of [events], which end with those of this part. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/checkpoint/SavedTextTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/checkpoint/SavedTextTest.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.job.ItemId
 import dev.vanillarun.core.job.JobId
+import dev.vanillarun.core.job.Transcript
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -56,6 +57,14 @@
                 savedTexts(mapOf(key(1) to part("a"), key(3) to part("c"))).getValue(item)
                     .transcript.eventData shouldBe listOf("a")
             }
+            // Guards against texts beyond the bound that reach other instances through the store.
+            it("are not taken over if they are too long for a text") {
+                val long = "x".repeat(Transcript.MAX_LENGTH / 2)
+                val new = RunnerId("new", startedAt = 2)
+                val saved = savedTexts(mapOf(key(1) to part(long), key(2) to part(long), key(1, new) to part("a")))
+                saved.getValue(item).transcript.eventData shouldBe listOf("a")
+                saved.getValue(item).runners shouldBe setOf(old, new)
+            }
             // Guards against long texts that begin anew where only their end has to be confirmed after a takeover.
             it("know the versions of the events before the last one, unless an older build has saved them") {
                 val part =
