Limit the memory that the texts of all items take together

Related path of the unbounded texts: a bound for each text does not bound their sum. An instance keeps the texts of all its items, and of up to 8,192 items whose jobs have ended, so that some dozen streams without end, each within the bound, or many sound long texts exhaust the heap together.

Costs nothing that grows with the fleet: a sum that each event changes by its own size.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -45,6 +45,7 @@
 import dev.vanillarun.hosted.front.JobEndpoint
 import dev.vanillarun.hosted.job.JobBoard
 import dev.vanillarun.hosted.job.registerRoom
+import dev.vanillarun.hosted.job.registerTexts
 import dev.vanillarun.hosted.live.CrashBoard
 import dev.vanillarun.hosted.live.LiveForwarder
 import dev.vanillarun.hosted.live.StreamForwarder
@@ -204,6 +205,7 @@
         targets.register(metrics)
         metrics.registerRoom(jobs.rewards, live)
         metrics.registerCheckpoints(jobs.checkpoints)
+        metrics.registerTexts(jobs.runner)
         metrics.registerFaults(connections)
         metrics.registerProcessorTime()
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemCheckpoints.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemCheckpoints.kt
@@ -22,14 +22,11 @@
 
     /** True if [waiting] has to wait, since a saved text of it may be usable soon. */
     fun holds(waiting: WaitingItem): Boolean =
-        !hasText(waiting.item.id) && checkpoints?.recovery?.holds(waiting.job, waiting.item.id) ?: false
-
-    private fun hasText(item: ItemId): Boolean =
-        items.progress[item]?.transcript?.let { it.lastEventNumber > 0 } ?: false
+        !items.hasEvents(waiting.item.id) && checkpoints?.recovery?.holds(waiting.job, waiting.item.id) ?: false
 
     /** Returns a saved text that the item of [task] may go on after, unless it has one of its own. */
     fun take(task: SampleTask): SavedText? {
-        if (hasText(task.item.id)) return null
+        if (items.hasEvents(task.item.id)) return null
         val saved = checkpoints?.recovery?.take(task.job.id, task.item.id)
         return saved?.takeIf { it.transcript.lastEventNumber > 0 }
     }
@@ -38,7 +35,7 @@
     suspend fun adopt(task: SampleTask, saved: SavedText, onChange: () -> Unit) {
         val text = GrowingText(task.job.id, task.item.id, saved.transcript)
         if (checkpoints?.saver?.adopt(text) == true) {
-            items.progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = saved.transcript) }
+            items.progress.setText(task.item.id, saved.transcript)
             checkpoints.recovery.adopted(task.job.id, task.item.id, saved)
         }
         items.running.remove(RunKey(task.job.id, task.item.id))
@@ -56,7 +53,7 @@
             val job = view.job ?: return@flatMapTo emptyList()
             job.items.filter { it.id !in view.positions }.map { RunKey(job.id, it.id) }
         }
-        return keys.filter { hasText(it.item) }
+        return keys.filter { items.hasEvents(it.item) }
             .map { GrowingText(it.job, it.item, items.progress.getValue(it.item).transcript) }
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -11,6 +11,7 @@
 import dev.vanillarun.core.job.JobItem
 import dev.vanillarun.core.job.JobView
 import dev.vanillarun.core.job.RunTime
+import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.job.WaitingItem
 import dev.vanillarun.core.job.groupRanks
 import dev.vanillarun.core.job.groupStates
@@ -41,13 +42,12 @@
     private val wallClock: () -> Long = System::currentTimeMillis,
     /** Runs of items whose job has ended. */
     val detached: DetachedRuns = DetachedRuns(clock),
+    /** Progress by item. */
+    val progress: ProgressTable = ProgressTable(),
 ) {
     /** Work in progress. */
     val running = HashMap<RunKey, ActiveRun>()
 
-    /** Progress by item, in the order in which the items were first due. */
-    val progress = LinkedHashMap<ItemId, ItemProgress>()
-
     /** Results that the store confirmed but that are not listed yet. */
     val concluded = HashMap<RunKey, RecordedResult>()
     private val groups = HashMap<JobId, Map<String, Int>>()
@@ -57,9 +57,23 @@
     var runTime = RunTime()
         private set
 
-    /** Records that a run of the whole [item] took [elapsed]. */
-    fun runCompleted(item: JobItem, elapsed: Duration) {
-        runTime = runTime.observed(item, elapsed)
+    /** Number of texts that were dropped since they overflowed. */
+    @Volatile
+    var droppedTexts = 0L
+        private set
+
+    /** Records that a run of [item], which had the progress [before], ended with [end] after [elapsed]. */
+    fun runEnded(item: JobItem, before: ItemProgress, end: RunOutcome, elapsed: Duration) {
+        val isWholeRun = end is RunOutcome.Complete && before.transcript.lastEventNumber == 0L
+        if (isWholeRun) runTime = runTime.observed(item, elapsed)
+        if (end is RunOutcome.Overflowed) droppedTexts++
+        progress[item.id] = before.afterRun(end, clock.now())
+    }
+
+    /** Keeps [transcript], the text of [item] so far; false if there is no memory for it. */
+    fun received(item: ItemId, transcript: Transcript): Boolean {
+        progress.setText(item, transcript)
+        return progress.mayGrow(item)
     }
 
     /** Group of the item of [task], whose job has [view]. */
@@ -105,12 +119,22 @@
         evictClosed(views)
     }
 
-    /** Evicts the oldest progress of items without an open job, beyond [MAX_CLOSED_ITEMS]. */
+    /**
+     * Evicts the oldest progress of items without an open job, beyond [MAX_CLOSED_ITEMS], and more of it while the texts
+     * are crowded; after that also progress of items that are listed.
+     */
     private fun evictClosed(open: List<JobView>) {
-        if (progress.size <= MAX_CLOSED_ITEMS + open.sumOf { it.job?.items?.size ?: 0 }) return
+        if (!progress.isCrowded && progress.size <= MAX_CLOSED_ITEMS + open.sumOf { it.job?.items?.size ?: 0 }) return
         val kept = open.flatMapTo(HashSet()) { view -> view.job?.items.orEmpty().map { it.id } }
         val closed = progress.keys.filter { it !in kept }
-        closed.take((closed.size - MAX_CLOSED_ITEMS).coerceAtLeast(0)).forEach(progress::remove)
+        val excess = (closed.size - MAX_CLOSED_ITEMS).coerceAtLeast(0)
+        closed.take(excess).forEach(progress::remove)
+        if (!progress.isCrowded) return
+        val needed = open.flatMapTo(running.keys.mapTo(HashSet()) { it.item }) { view ->
+            view.job?.items.orEmpty().map { it.id }.filter { it !in view.positions }
+        }
+        (closed.drop(excess) + open.flatMap { it.positions.keys }).filter { it !in needed && it !in detached }
+            .asSequence().takeWhile { progress.isCrowded }.forEach(progress::remove)
     }
 
     /**
@@ -144,11 +168,12 @@
         }
     }
 
+    /** Items that may be sent now; none that has yet to receive its first event while there is no memory for texts. */
     private fun dueItems(view: JobView, job: Job): List<JobItem> {
         val now = clock.now()
         return job.items.filter { item ->
             val due = progress[item.id]?.notBefore?.let { now >= it } ?: true
-            due && isWaiting(view, RunKey(job.id, item.id))
+            due && isWaiting(view, RunKey(job.id, item.id)) && (!progress.isFull || hasEvents(item))
         }
     }
 
@@ -163,8 +188,10 @@
             )
         }
 
-    private fun hasEvents(item: JobItem): Boolean =
-        progress[item.id]?.transcript?.let { it.lastEventNumber > 0 } ?: false
+    private fun hasEvents(item: JobItem): Boolean = hasEvents(item.id)
+
+    /** True if events of [item] were received. */
+    fun hasEvents(item: ItemId): Boolean = progress[item]?.transcript?.let { it.lastEventNumber > 0 } ?: false
 
     private fun isWaiting(view: JobView, key: RunKey): Boolean =
         key.item !in view.positions && key !in running && key !in concluded && key.item !in detached
@@ -179,6 +206,7 @@
             key in running -> "being scored or recorded"
             key.item in detached -> "still generated for a job that has ended"
             key in concluded -> "recorded but not listed yet"
+            progress.isFull && !hasEvents(key.item) -> "no memory for further texts"
             backoff > Duration.ZERO -> "backed off for ${backoff.inWholeMilliseconds} ms"
             else -> null
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -113,6 +113,12 @@
     var isBusy: Boolean = false
         private set
 
+    /** Estimate of the bytes of heap that the texts of items take, until they are recorded or not needed any more. */
+    val textBytes: Long get() = progress.textBytes
+
+    /** Number of texts that were dropped since they overflowed. */
+    val droppedTexts: Long get() = items.droppedTexts
+
     @Volatile
     private var accepting = true
 
@@ -262,9 +268,7 @@
             "target" to engine.id.value,
             "after_event" to "${before.transcript.lastEventNumber}",
         )
-        val end = samples.run(task, engine, before.transcript) { extended ->
-            progress.computeIfPresent(task.item.id) { _, known -> known.copy(transcript = extended, complete = false) }
-        }
+        val end = samples.run(task, engine, before.transcript) { items.received(task.item.id, it) }
         val elapsed = clock.now() - begun
         recordEvent(
             "item.run_ended",
@@ -273,9 +277,7 @@
             "end" to end.describe(),
             "elapsed_ms" to "${elapsed.inWholeMilliseconds}",
         )
-        val isWholeRun = end is RunOutcome.Complete && before.transcript.lastEventNumber == 0L
-        if (isWholeRun) items.runCompleted(task.item, elapsed)
-        progress[task.item.id] = before.afterRun(end, clock.now())
+        items.runEnded(task.item, before, end, elapsed)
         wake.trySend(Unit)
         if (items.detached.ended(task.item.id)) return
         val conclusion = when (end) {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RoomMetrics.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/RoomMetrics.kt
@@ -12,3 +12,11 @@
     val withheld = "Refused requests that got no further target because the budget of retries was spent."
     counter("vanillarun_retries_withheld_total", withheld, "kind") { live.retriesWithheld }
 }
+
+/** Registers the metrics of the texts that [runner] keeps. */
+internal fun DaemonMetrics.registerTexts(runner: JobRunner) {
+    val bytes = "Estimated memory of the texts of items."
+    gauge("vanillarun_item_text_bytes", bytes) { runner.textBytes.toDouble() }
+    val dropped = "Texts of items that were dropped: too long, beyond their end, or without memory for them."
+    counter("vanillarun_item_texts_dropped_total", dropped, "kind") { mapOf("item" to runner.droppedTexts) }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -58,8 +58,8 @@
     data class Incompatible(val reason: String) : RunOutcome
 
     /**
-     * What was received is too long for a text, or goes on beyond the end of the item's text. Which part of it is sound
-     * is unknown, so the item restarts from scratch.
+     * What was received is too long for a text, goes on beyond the end of the item's text, or exceeds the memory. Which
+     * part of it is sound is unknown, so the item restarts from scratch.
      */
     data class Overflowed(val reason: String) : RunOutcome
 
@@ -95,7 +95,7 @@
         private val task: SampleTask,
         private val replica: Replica,
         private val before: Transcript,
-        private val onProgress: (Transcript) -> Unit,
+        private val keep: (Transcript) -> Boolean,
     ) {
         var transcript: Transcript = before
             private set
@@ -161,8 +161,8 @@
             return when (val appendResult = transcript.add(event, task.job.minVersion, task.route.singleVersion)) {
                 is TranscriptAppendResult.Appended -> {
                     transcript = appendResult.transcript
-                    onProgress(transcript)
-                    null
+                    val isKept = keep(transcript)
+                    if (isKept) null else RunOutcome.Overflowed("no memory after ${transcript.lastEventNumber} events")
                 }
 
                 is TranscriptAppendResult.Rejected -> when (appendResult.fault) {
@@ -183,16 +183,19 @@
         private fun interrupted(reason: String) = RunOutcome.Interrupted(transcript, reason)
     }
 
-    /** Runs [task] at [replica], resuming after [before]; [onProgress] receives the transcript after each new event. */
+    /**
+     * Runs [task] at [replica], resuming after [before]; [keep] receives the transcript after each new event, and returns
+     * false if there is no memory for it.
+     */
     suspend fun run(
         task: SampleTask,
         replica: Replica,
         before: Transcript,
-        onProgress: (Transcript) -> Unit = {},
+        keep: (Transcript) -> Boolean = { true },
     ): RunOutcome {
-        val outcome = runOnce(task, replica, before, onProgress)
+        val outcome = runOnce(task, replica, before, keep)
         val isUnconfirmed = outcome is RunOutcome.Complete && outcome.transcript.eventData.size == before.eventData.size
-        return if (isUnconfirmed) confirmEnd(task, replica, before, onProgress) else outcome
+        return if (isUnconfirmed) confirmEnd(task, replica, before, keep) else outcome
     }
 
     /**
@@ -203,10 +206,10 @@
         task: SampleTask,
         replica: Replica,
         received: Transcript,
-        onProgress: (Transcript) -> Unit,
+        keep: (Transcript) -> Boolean,
     ): RunOutcome {
         val shortened = received.withoutLastEvent() ?: return RunOutcome.Overflowed("an end that cannot be confirmed")
-        val outcome = runOnce(task, replica, shortened, onProgress)
+        val outcome = runOnce(task, replica, shortened, keep)
         val events = when (outcome) {
             is RunOutcome.Complete -> outcome.transcript.lastEventNumber
             is RunOutcome.Interrupted -> outcome.transcript.lastEventNumber
@@ -223,9 +226,9 @@
         task: SampleTask,
         replica: Replica,
         before: Transcript,
-        onProgress: (Transcript) -> Unit,
+        keep: (Transcript) -> Boolean,
     ): RunOutcome {
-        val reader = Reader(task, replica, before, onProgress)
+        val reader = Reader(task, replica, before, keep)
         val sent = withStallLimit(STALL_TIMEOUT, clock) { activity ->
             gateway.send(outgoing(task, before), replica) { reader.read(it, activity) }
         }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/ItemTableTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/ItemTableTest.kt
@@ -11,7 +11,7 @@
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.seconds
 
-private val Route =
+internal val Route =
     CatalogRoute("r", "h", "/gen/", RequestKind.ROLLOUT, emptyList(), timeout = 2.seconds, objective = 1.seconds)
 
 class ItemTableTest :
