An instance whose heap was exhausted is not ready, and says why

Cause: readiness asked for the age of the views only. An OutOfMemoryError ended calls, items and components, each of which went on or was started again; a call that ended so left no event and no figure of its own, so that the log did not tell a 500 from none.

Change: HeapMonitor notes failures by an exhausted heap of components, items and calls. Other errors do not count: a request that brings a defect to light would take all instances out. An unexpected error of a call is recorded as `request.failed` with its place, and counted with status 500.

The inputs of the job runner moved to a file of their own.

The case of ComponentSupervisorTest asserts one thing more.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
@@ -19,6 +19,7 @@
     private val scope: CoroutineScope,
     private val events: EventRecorder,
     metrics: DaemonMetrics,
+    private val heap: HeapMonitor,
 ) {
     private val failures = ConcurrentHashMap<String, Long>()
 
@@ -42,6 +43,7 @@
                 throw e
             } catch (e: Throwable) { // An Error, too: a component that ended would stay away for good, unnoticed.
                 failures.merge(name, 1, Long::plus)
+                heap.failed(name, e)
                 val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
                 val attributes = mapOf("component" to name, "reason" to "$e", "at" to place)
                 events.record("component.failed", EventLinks(), attributes)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -86,7 +86,8 @@
     private val metrics = DaemonMetrics()
     private val callCounter = CallCounter(metrics)
     private val admission = CallAdmission()
-    private val supervisor = ComponentSupervisor(scope, events, metrics)
+    private val heap = HeapMonitor(clock, events)
+    private val supervisor = ComponentSupervisor(scope, events, metrics, heap)
 
     private val regions = settings.regionOf.values.toSet()
     private val catalog = CatalogSource(ports.store, ports.codec, clock, events, regions)
@@ -149,6 +150,7 @@
         views = JobInputs(board, catalog, replicas, placement, tracker),
         targets = targets,
         live = live,
+        heap = heap,
         writer = writer,
         clock = clock,
         wallClock = wallClock,
@@ -193,6 +195,7 @@
         usage = usageMeter,
         calls = callCounter,
         admission = admission,
+        heap = heap,
         clock = clock,
         events = events,
     )
@@ -206,6 +209,7 @@
         metrics.registerRoom(jobs.rewards, live)
         metrics.registerCheckpoints(jobs.checkpoints)
         metrics.registerTexts(jobs.runner)
+        heap.register(metrics)
         metrics.registerFaults(connections)
         metrics.registerProcessorTime()
     }
@@ -222,10 +226,14 @@
     /** Bound address of metrics and status, `host:port`; valid once [start] has returned. */
     public val adminAddress: String get() = servers[ADMIN_SERVER].address
 
-    /** True if the load balancer may route callers here: a catalog is known, the views are fresh and no drain runs. */
-    public val ready: Boolean get() = !stopping && listOf(catalog.follower, replicas.follower, board.follower).all {
-        it.state.value.ready && (it.age(clock.now()) ?: Duration.INFINITE) < MAX_VIEW_AGE
-    } && catalog.catalog.value != null
+    /**
+     * True if the load balancer may route callers here: a catalog is known, the views are fresh, the heap was not
+     * exhausted a moment ago and no drain runs.
+     */
+    public val ready: Boolean get() = !stopping && !heap.isExhausted &&
+        listOf(catalog.follower, replicas.follower, board.follower).all {
+            it.state.value.ready && (it.age(clock.now()) ?: Duration.INFINITE) < MAX_VIEW_AGE
+        } && catalog.catalog.value != null
 
     /**
      * Starts the servers and all components. Calls are accepted at once, and refused as not run until a catalog has
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/CallCounter.kt
@@ -17,6 +17,10 @@
     /** Last target of the call; null if it was not passed on. */
     @Volatile
     var passedOn: PassedOn? = null
+
+    /** True once the response is in the metrics. */
+    @Volatile
+    var isRecorded: Boolean = false
 }
 
 /** Counts calls for the metrics and for a drain, which waits until no call is in progress. */
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -14,6 +14,7 @@
 import dev.vanillarun.daemon.caller.messageFault
 import dev.vanillarun.daemon.forward.HeaderRules
 import dev.vanillarun.daemon.stream.CallerStream
+import dev.vanillarun.hosted.HeapMonitor
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.duty.UsageMeter
 import dev.vanillarun.hosted.live.LiveForwarder
@@ -38,7 +39,9 @@
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -80,6 +83,7 @@
     private val usage: UsageMeter,
     private val calls: CallCounter,
     private val admission: CallAdmission,
+    private val heap: HeapMonitor,
     private val clock: MonotonicClock,
     private val events: EventRecorder,
 ) {
@@ -87,7 +91,27 @@
     fun install(application: Application) {
         application.install(HttpRequestLifecycle) { cancelCallOnClose = true }
         application.intercept(ApplicationCallPipeline.Call) {
-            calls.track(context.request.headers[dialect.idHeader]) { handle(context, it) }
+            calls.track(context.request.headers[dialect.idHeader]) { handleOrReport(context, it) }
+        }
+    }
+
+    /** Handles [call], and records an unexpected error; the server responds to it with status 500. */
+    @Suppress("TooGenericExceptionCaught") // Any defect that one call brings to light.
+    private suspend fun handleOrReport(call: ApplicationCall, tracked: TrackedCall) {
+        val received = clock.now()
+        try {
+            handle(call, tracked)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: IOException) {
+            throw e // the connection of the caller
+        } catch (e: Throwable) {
+            heap.failed("call", e)
+            if (!tracked.isRecorded) calls.recordResponse(SERVER_ERROR, clock.now() - received)
+            val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
+            val attributes = mapOf("reason" to "$e", "at" to place, "method" to call.request.httpMethod.value)
+            events.record("request.failed", EventLinks(request = call.request.headers[dialect.idHeader]), attributes)
+            throw e
         }
     }
 
@@ -108,6 +132,7 @@
     } finally {
         val elapsed = clock.now() - request.received
         calls.recordResponse(reply.status, elapsed)
+        request.tracked.isRecorded = true
         val attributes = mapOf(
             "status" to "${reply.status}",
             "reason" to reply.reason,
@@ -247,6 +272,7 @@
         const val FIRST_ERROR = 400
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
+        const val SERVER_ERROR = 500
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         val UnknownKey = Reply(UNAUTHORIZED, "the key is unknown")
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -15,14 +15,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
-import dev.vanillarun.hosted.catalog.CatalogSource
-import dev.vanillarun.hosted.catalog.ReplicaSource
-import dev.vanillarun.hosted.checkpoint.Checkpoints
-import dev.vanillarun.hosted.duty.PlacementBoard
 import dev.vanillarun.hosted.store.DurableAppender
-import dev.vanillarun.hosted.target.DepartureBoard
-import dev.vanillarun.hosted.target.TargetGates
-import dev.vanillarun.hosted.target.TargetTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
@@ -36,22 +29,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Views of jobs, catalog, engines and slots that a [JobRunner] reads. */
-internal class RunnerInputs(
-    val board: JobBoard,
-    val catalog: CatalogSource,
-    val replicas: ReplicaSource,
-    val placement: PlacementBoard,
-    val slots: SlotMembership,
-    val tracker: TargetTracker,
-    val departures: DepartureBoard,
-    val gates: TargetGates = TargetGates(),
-    val ownership: JobOwnership = JobOwnership(catalog, slots),
-    val checkpoints: Checkpoints? = null,
-    /** True if runs go on after the end of their job while their engines have nothing else to do. */
-    val keepsRuns: () -> Boolean = tracker::reportsMachines,
-)
-
 /**
  * Runs the items of the jobs whose slot belongs to this instance.
  *
@@ -224,6 +201,7 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Throwable) {
+        inputs.heap?.failed("item", e)
         recordEvent("item.run_failed", task, "reason" to "$e")
         progress[task.item.id] =
             (progress[task.item.id] ?: ItemProgress()).copy(notBefore = clock.now() + FAILURE_BACKOFF)
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/ComponentSupervisorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/ComponentSupervisorTest.kt
@@ -2,6 +2,7 @@
 
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.daemon.metrics.DaemonMetrics
+import dev.vanillarun.hosted.fake.ManualClock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CompletableDeferred
@@ -21,13 +22,15 @@
                     runTest {
                         val restarted = CompletableDeferred<Unit>()
                         var starts = 0
-                        ComponentSupervisor(backgroundScope, NoOpEventRecorder, DaemonMetrics()).start("c") {
+                        val heap = HeapMonitor(ManualClock(), NoOpEventRecorder)
+                        ComponentSupervisor(backgroundScope, NoOpEventRecorder, DaemonMetrics(), heap).start("c") {
                             if (++starts == 1) throw failure
                             restarted.complete(Unit)
                             awaitCancellation()
                         }
                         restarted.await()
                         starts shouldBe 2
+                        heap.isExhausted shouldBe (failure is OutOfMemoryError)
                     }
                 }
             }
