Take no answer from a status that HTTP does not define

Callers saw: answers of 600, 742 and 999 with the target's signature were passed on as answers. At 000, 001 and 099 nothing was passed on, but the caller waited until its deadline and got 504, though the target had said all that it would say.

Cause: two readings of one number. The check of the status line took any three digits; NettyExchange took each code under 200 for an interim answer, after which a final one is due, and ResponseDecoder only those that Netty calls informational. Codes of 600 and above were final answers for both.

Change: the check of the status line tells statuses outside 100 to 599 (RFC 9110, section 15), so that the exchange breaks at once like any that is not HTTP: requests that may be repeated go to another target, the others get 502. Both readings of what is interim are Netty's now. As the store and the platform are called by the same client, an append that they answer so is in doubt and no more refused. A probe of the standalone daemon that gets such an answer, or one that Ktor cannot parse, ends as malformed; it threw before.

--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/HeadFault.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/answer/HeadFault.kt
@@ -8,6 +8,12 @@
         public val received: String,
     ) : HeadFault
 
+    /** The status is none that HTTP defines. */
+    public data class UnknownStatus(
+        /** Status code as received. */
+        public val status: Int,
+    ) : HeadFault
+
     /** The head holds the status line of another response, so that its parts belong to different responses. */
     public data class SecondStatusLine(
         /** Number of the line that holds it, from 1. */
--- a/vanillarun-core/src/test/kotlin/dev/vanillarun/core/answer/StatusLineCheckTest.kt
+++ b/vanillarun-core/src/test/kotlin/dev/vanillarun/core/answer/StatusLineCheckTest.kt
@@ -47,6 +47,13 @@
                 statusLineFault("HTTP/1.1 200 OK\r\n" + lines.joinToString("\r\n")).shouldBeNull()
             }
         }
+        // Guards against answers with a status that is none.
+        it("a status counts if its class is one that HTTP defines") {
+            (0..999).forEach { status ->
+                val fault = statusLineFault("HTTP/1.1 ${status.toString().padStart(3, '0')} X\r\n")
+                fault shouldBe if (status in 100..599) null else HeadFault.UnknownStatus(status)
+            }
+        }
         describe("the beginning of one response, cut anywhere, and another as a whole") {
             // Callers got the status of the first with the fields of the second.
             it("are never the head of a single response") {
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/KtorTargetClient.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/KtorTargetClient.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.daemon.target
 
+import dev.vanillarun.core.answer.isKnownStatus
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
@@ -11,6 +12,7 @@
 import io.ktor.client.statement.HttpStatement
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpMethod
+import io.ktor.http.cio.ParserException
 import io.ktor.http.content.ByteArrayContent
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
@@ -44,7 +46,7 @@
         return try {
             statement.executeWith {
                 responseStarted = true
-                ExchangeResult.Answered(handle(it))
+                if (isKnownStatus(it.status)) ExchangeResult.Answered(handle(it)) else malformed("status ${it.status}")
             }
         } catch (e: ConnectTimeoutException) {
             if (responseStarted) throw e else ExchangeResult.NotSent(e.summary())
@@ -52,11 +54,16 @@
             if (responseStarted) throw e else ExchangeResult.NotSent(e.summary())
         } catch (e: UnresolvedAddressException) {
             if (responseStarted) throw e else ExchangeResult.NotSent(e.summary())
+        } catch (e: ParserException) {
+            if (responseStarted) throw e else malformed(e.summary())
         } catch (e: IOException) {
             if (responseStarted) throw e else ExchangeResult.Broken(e.summary())
         }
     }
 
+    private fun malformed(reason: String) =
+        ExchangeResult.Broken("not HTTP: $reason", cause = BreakCause.INVALID_ANSWER)
+
     private suspend fun <T> HttpStatement.executeWith(handle: suspend (TargetResponse) -> T): T = execute { response ->
         handle(TargetResponse(response.status.value, response.headers, ChannelBody(response.bodyAsChannel())))
     }
--- a/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
+++ b/vanillarun-daemon/src/main/kotlin/dev/vanillarun/daemon/target/NettyExchange.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
@@ -187,7 +188,7 @@
     }
 
     private fun onHead(response: HttpResponse) {
-        interim = response.status().code() < FIRST_FINAL
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (interim) return
         status = response.status().code()
         digest = if (leadsToRepetition(status)) MessageDigest.getInstance("SHA-256") else null
@@ -294,7 +295,6 @@
     }
 
     private companion object {
-        const val FIRST_FINAL = 200
         val TimeoutParameter = Regex("timeout=(\\d+)")
 
         /** Largest body that is kept back, in bytes; failures say little. */
