--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/checkpoint/SavedText.kt
@@ -82,7 +82,7 @@
 )
 
 /**
- * Returns the longest text of each item in [parts]: consecutive parts of one text of one runner, from event 1 on. A text
+ * Returns the longest text of each item in [parts]: consecutive parts of one text of one runner, from event 1 on. One
  * that is too long is not the item's, and counts as empty.
  */
 public fun savedTexts(parts: Map<TextPartKey, TextPart>): Map<ItemId, SavedText> =
--- a/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Transcript.kt
+++ b/vanillarun-core/src/main/kotlin/dev/vanillarun/core/job/Transcript.kt
@@ -70,7 +70,7 @@
     /** True if [text] exceeds [MAX_LENGTH]. */
     public val isTooLong: Boolean get() = length - 1 > MAX_LENGTH
 
-    /** Returns the transcript without its last event; null if it has none, or if the versions of the rest are unknown. */
+    /** Returns the transcript without its last event; null if it has none, or the versions of the rest are unknown. */
     public fun withoutLastEvent(): Transcript? {
         val remaining = earlierVersions ?: return null
         if (eventData.isEmpty()) return null
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HostedDaemon.kt
@@ -18,7 +18,6 @@
 import dev.vanillarun.daemon.admin.AdminServer
 import dev.vanillarun.daemon.admin.HeldDuty
 import dev.vanillarun.daemon.admin.InstanceStatus
-import dev.vanillarun.daemon.admin.TargetStatus
 import dev.vanillarun.daemon.agreement.DutyRunner
 import dev.vanillarun.daemon.agreement.LogAppender
 import dev.vanillarun.daemon.agreement.LogFollower
@@ -295,15 +294,7 @@
         dataCentre = settings.dataCentre,
         configOffset = catalog.catalog.value?.version ?: -1,
         draining = stopping,
-        targets = replicas.replicas.value.values.map {
-            TargetStatus(
-                target = it.id.value,
-                inFlight = tracker.of(it).running,
-                ejected = !tracker.usable(it),
-                leaving = it.leaving || targets.departures.isDeparting(it),
-                departureSeenBy = targets.departures.departureOf(it)?.label,
-            )
-        },
+        targets = targets.status(),
         duties = listOfNotNull(duty.heldTerm?.let { HeldDuty(duty.name, it.value) }),
         evacuated = catalog.evacuations.value.dataCentres.map { it.name }.sorted(),
     )
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/TargetAccess.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/TargetAccess.kt
@@ -4,6 +4,7 @@
 import dev.vanillarun.core.time.MonotonicClock
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.core.zone.DataCentre
+import dev.vanillarun.daemon.admin.TargetStatus
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import dev.vanillarun.hosted.catalog.CatalogSource
 import dev.vanillarun.hosted.catalog.ReplicaSource
@@ -28,8 +29,8 @@
     settings: HostedSettings,
     ports: HostedPorts,
     private val catalog: CatalogSource,
-    replicas: ReplicaSource,
-    tracker: TargetTracker,
+    private val replicas: ReplicaSource,
+    private val tracker: TargetTracker,
     ownership: TargetOwnership,
     clock: MonotonicClock,
     wallClock: () -> Long,
@@ -77,6 +78,17 @@
         metrics.registerPace(pace)
     }
 
+    /** State of all listed targets, as this instance sees them. */
+    fun status(): List<TargetStatus> = replicas.replicas.value.values.map {
+        TargetStatus(
+            target = it.id.value,
+            inFlight = tracker.of(it).running,
+            ejected = !tracker.usable(it),
+            leaving = it.leaving || departures.isDeparting(it),
+            departureSeenBy = departures.departureOf(it)?.label,
+        )
+    }
+
     /** Forgets what is known of targets that have not been in [present] for long. */
     fun retain(present: Collection<Replica>) {
         departures.retain(present)
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ItemTable.kt
@@ -120,8 +120,8 @@
     }
 
     /**
-     * Evicts the oldest progress of items without an open job, beyond [MAX_CLOSED_ITEMS], and more of it while the texts
-     * are crowded; after that also progress of items that are listed.
+     * Evicts the oldest progress of items without an open job, beyond [MAX_CLOSED_ITEMS], and more of it while the
+     * texts are crowded; after that also progress of items that are listed.
      */
     private fun evictClosed(open: List<JobView>) {
         if (!progress.isCrowded && progress.size <= MAX_CLOSED_ITEMS + open.sumOf { it.job?.items?.size ?: 0 }) return
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ProgressTable.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ProgressTable.kt
@@ -5,7 +5,8 @@
 
 /**
  * Progress by item, in the order in which the items were first due, with the memory that their texts take. Texts may
- * take up to [textLimit] bytes; above that, those which exceed an equal share may not grow. Confined to the thread of the [JobRunner].
+ * take up to [textLimit] bytes; above that, those which exceed an equal share may not grow. Confined to the thread of
+ * the [JobRunner].
  */
 internal class ProgressTable(private val textLimit: Long = Runtime.getRuntime().maxMemory() / TEXTS_OF_HEAP) {
     private val entries = LinkedHashMap<ItemId, ItemProgress>()
@@ -48,7 +49,7 @@
         entries[item]?.let { this[item] = it.copy(transcript = transcript, complete = false) }
     }
 
-    /** False if there is no memory for the text of [item]: the limit is exceeded, and the text exceeds an equal share. */
+    /** False if there is no memory for the text of [item]: all exceed the limit, and this one an equal share of it. */
     fun mayGrow(item: ItemId): Boolean {
         val bytes = entries[item]?.transcript?.heapBytes ?: 0
         return !isFull || bytes * texts <= textLimit
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -184,8 +184,8 @@
     }
 
     /**
-     * Runs [task] at [replica], resuming after [before]; [keep] receives the transcript after each new event, and returns
-     * false if there is no memory for it.
+     * Runs [task] at [replica], resuming after [before]. After each new event [keep] receives the transcript, and
+     * returns false if there is no memory for it.
      */
     suspend fun run(
         task: SampleTask,
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/fake/FakeTargets.kt
@@ -25,6 +25,9 @@
 
 /** Response of a target to every request. */
 sealed interface Behaviour {
+    /** Opens a response and sends its body in parts. */
+    sealed interface Streaming : Behaviour
+
     /** Sends a complete response with [status]. */
     data class Response(val status: Int = 200, val notRun: Boolean = false) : Behaviour
 
@@ -39,27 +42,27 @@
         val signature: String? = "s",
         val isFramed: Boolean = true,
         val weights: Long? = null,
-    ) : Behaviour
+    ) : Streaming
 
     /**
-     * Streams the [events] of a text and goes on with events of [excessData] bytes of data, each after [interval], until
-     * it disconnects after [excessEvents] of these.
+     * Streams the [events] of a text and goes on with events of [excessData] bytes of data, each after [interval], and
+     * disconnects after [excessEvents] of these.
      */
     data class Overflow(
         val excessData: Int,
         val excessEvents: Long,
         val events: Long = 5,
         val interval: Duration = Duration.ZERO,
-    ) : Behaviour
+    ) : Streaming
 
     /** Opens a response and sends [chunk] each [interval] without end; the chunks complete no event. */
-    data class Endless(val chunk: ByteArray, val interval: Duration = Duration.ZERO) : Behaviour
+    data class Endless(val chunk: ByteArray, val interval: Duration = Duration.ZERO) : Streaming
 
     /** Sends a complete response [after] the request. */
     data class Late(val after: Duration) : Behaviour
 
     /** Streams five events that are [interval] apart. */
-    data class SlowStream(val interval: Duration) : Behaviour
+    data class SlowStream(val interval: Duration) : Streaming
 
     /** Sends a response with [status] that carries another request's id. */
     data class MismatchedResponse(val status: Int = 200) : Behaviour
@@ -127,13 +130,7 @@
             ExchangeResult.Answered(handle(answer(200, id, notRun = false)))
         }
 
-        is Behaviour.EventStream -> ExchangeResult.Answered(handle(stream(behaviour, request.headers)))
-
-        is Behaviour.Overflow -> ExchangeResult.Answered(handle(overflow(behaviour, request.headers)))
-
-        is Behaviour.Endless -> ExchangeResult.Answered(handle(endless(behaviour, id)))
-
-        is Behaviour.SlowStream -> ExchangeResult.Answered(handle(slow(behaviour, request.headers)))
+        is Behaviour.Streaming -> ExchangeResult.Answered(handle(opened(behaviour, id, request.headers)))
 
         is Behaviour.MismatchedResponse ->
             ExchangeResult.Answered(handle(answer(behaviour.status, "other", notRun = false)))
@@ -155,6 +152,14 @@
         Behaviour.Unreachable -> ExchangeResult.NotSent("refused")
     }
 
+    private fun opened(behaviour: Behaviour.Streaming, id: String, requestHeaders: Headers): TargetResponse =
+        when (behaviour) {
+            is Behaviour.EventStream -> stream(behaviour, requestHeaders)
+            is Behaviour.Overflow -> overflow(behaviour, requestHeaders)
+            is Behaviour.Endless -> endless(behaviour, id)
+            is Behaviour.SlowStream -> slow(behaviour, requestHeaders)
+        }
+
     private fun answer(status: Int, id: String, notRun: Boolean): TargetResponse {
         val parts = ArrayDeque(listOf<BodyPart>(BodyPart.Bytes("body".encodeToByteArray())))
         val headers = headersOf("id" to listOf(id), "signature" to listOf("s"), "notRun" to listOf("$notRun"))
