Go on after a failure that cannot be recorded for lack of memory

Change: HeapMonitor, ComponentSupervisor, the job runner and the front server drop the event of a failure if there is no memory for it, and the runner releases the item before it records anything. The metrics count in any case.

FailedRunsTest and the new case of ComponentSupervisorTest were red on: neither the item nor the component was started again.

--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/ComponentSupervisor.kt
@@ -1,6 +1,5 @@
 package dev.vanillarun.hosted
 
-import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import dev.vanillarun.hosted.store.storeBackoff
@@ -44,9 +43,10 @@
             } catch (e: Throwable) { // An Error, too: a component that ended would stay away for good, unnoticed.
                 failures.merge(name, 1, Long::plus)
                 heap.failed(name, e)
-                val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
-                val attributes = mapOf("component" to name, "reason" to "$e", "at" to place)
-                events.record("component.failed", EventLinks(), attributes)
+                events.recordIfPossible("component.failed") {
+                    val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
+                    mapOf("component" to name, "reason" to "$e", "at" to place)
+                }
                 delay(backoff.delayAfter(consecutive++))
             }
         }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HeapMonitor.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/HeapMonitor.kt
@@ -30,7 +30,7 @@
         val isFirst = !isExhausted
         failures++
         lastFailure.set(clock.now())
-        if (isFirst) events.record("heap.exhausted", EventLinks(), mapOf("place" to place, "reason" to "$cause"))
+        if (isFirst) events.recordIfPossible("heap.exhausted") { mapOf("place" to place, "reason" to "$cause") }
     }
 
     /** Registers the metrics. */
@@ -47,3 +47,16 @@
         const val MAX_CAUSES = 8
     }
 }
+
+/** Records a failure as an event, or nothing if there is no memory for it: what follows a failure must go on. */
+internal fun EventRecorder.recordIfPossible(
+    name: String,
+    links: EventLinks = EventLinks(),
+    attributes: () -> Map<String, String>,
+) {
+    try {
+        record(name, links, attributes())
+    } catch (_: OutOfMemoryError) {
+        // The metrics have counted the failure.
+    }
+}
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/front/FrontServer.kt
@@ -22,6 +22,7 @@
 import dev.vanillarun.hosted.live.LiveRequest
 import dev.vanillarun.hosted.live.StreamForwarder
 import dev.vanillarun.hosted.live.StreamSink
+import dev.vanillarun.hosted.recordIfPossible
 import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
@@ -108,9 +109,10 @@
         } catch (e: Throwable) {
             heap.failed("call", e)
             if (!tracked.isRecorded) calls.recordResponse(SERVER_ERROR, clock.now() - received)
-            val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
-            val attributes = mapOf("reason" to "$e", "at" to place, "method" to call.request.httpMethod.value)
-            events.record("request.failed", EventLinks(request = call.request.headers[dialect.idHeader]), attributes)
+            events.recordIfPossible("request.failed", EventLinks(request = tracked.id)) {
+                val place = e.stackTrace.firstOrNull()?.toString().orEmpty()
+                mapOf("reason" to "$e", "at" to place, "method" to call.request.httpMethod.value)
+            }
             throw e
         }
     }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/JobRunner.kt
@@ -13,8 +13,8 @@
 import dev.vanillarun.core.job.assignmentOrder
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
-import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
+import dev.vanillarun.hosted.recordIfPossible
 import dev.vanillarun.hosted.store.DurableAppender
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
@@ -202,11 +202,11 @@
         throw e
     } catch (e: Throwable) {
         inputs.heap?.failed("item", e)
-        recordEvent("item.run_failed", task, "reason" to "$e")
         progress[task.item.id] =
             (progress[task.item.id] ?: ItemProgress()).copy(notBefore = clock.now() + FAILURE_BACKOFF)
         running.remove(RunKey(task.job.id, task.item.id))
         items.detached.ended(task.item.id)
+        events.recordIfPossible("item.run_failed", task.links) { mapOf("reason" to "$e") }
     }
 
     /** Moves runs out of evacuated data centres and away from engines that are slow. */
@@ -297,8 +297,7 @@
     }
 
     private fun recordEvent(name: String, task: SampleTask, vararg attributes: Pair<String, String>) {
-        val links = EventLinks(request = task.job.id.value, sample = task.item.id.value)
-        events.record(name, links, attributes.toMap())
+        events.record(name, task.links, attributes.toMap())
     }
 
     private companion object {
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ResultRecorder.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/ResultRecorder.kt
@@ -6,7 +6,6 @@
 import dev.vanillarun.core.job.Transcript
 import dev.vanillarun.core.store.TopicAppendResult
 import dev.vanillarun.core.time.MonotonicClock
-import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.hosted.store.DurableAppender
 
@@ -53,7 +52,6 @@
     }
 
     private fun recordEvent(name: String, task: SampleTask, vararg attributes: Pair<String, String>) {
-        val links = EventLinks(request = task.job.id.value, sample = task.item.id.value)
-        events.record(name, links, attributes.toMap())
+        events.record(name, task.links, attributes.toMap())
     }
 }
--- a/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
+++ b/vanillarun-hosted/src/main/kotlin/dev/vanillarun/hosted/job/SampleRunner.kt
@@ -10,6 +10,7 @@
 import dev.vanillarun.core.job.TranscriptAppendResult
 import dev.vanillarun.core.time.Instant
 import dev.vanillarun.core.time.MonotonicClock
+import dev.vanillarun.core.timeline.EventLinks
 import dev.vanillarun.core.zone.Region
 import dev.vanillarun.core.zone.allowedRegions
 import dev.vanillarun.daemon.stream.EventSplitter
@@ -42,6 +43,9 @@
     /** What gates may know of a run of the item. */
     val gated: GatedRequest = GatedRequest(ExchangeKind.ITEM, allowedRegions(route.regions, customerRegions))
 
+    /** Job and item, for events. */
+    val links: EventLinks get() = EventLinks(request = job.id.value, sample = item.id.value)
+
     /** Expected number of generated tokens; their upper bound if the submitter gave no estimate. */
     val outputTokens: Long get() = item.expectedTokens ?: (item.tokens - item.promptTokens)
 }
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/ComponentSupervisorTest.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/ComponentSupervisorTest.kt
@@ -1,5 +1,6 @@
 package dev.vanillarun.hosted
 
+import dev.vanillarun.core.timeline.EventRecorder
 import dev.vanillarun.core.timeline.NoOpEventRecorder
 import dev.vanillarun.daemon.metrics.DaemonMetrics
 import dev.vanillarun.hosted.fake.ManualClock
@@ -34,5 +35,22 @@
                     }
                 }
             }
+
+            // Guards against a component that ends for good because not even its failure can be recorded.
+            it("is started again if there is no memory for the record of its failure") {
+                runTest {
+                    val restarted = CompletableDeferred<Unit>()
+                    var starts = 0
+                    val events = EventRecorder { _, _, _ -> throw OutOfMemoryError("record") }
+                    val heap = HeapMonitor(ManualClock(), events)
+                    ComponentSupervisor(backgroundScope, events, DaemonMetrics(), heap).start("c") {
+                        if (++starts == 1) throw OutOfMemoryError("x")
+                        restarted.complete(Unit)
+                        awaitCancellation()
+                    }
+                    restarted.await()
+                    heap.isExhausted shouldBe true
+                }
+            }
         }
     })
--- a/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
+++ b/vanillarun-hosted/src/test/kotlin/dev/vanillarun/hosted/job/RunnerFixture.kt
@@ -73,8 +73,12 @@
     val log = FakeTopicLog()
     val targets = FakeTargets()
     val recorded = mutableListOf<TimedEvent>()
+
+    /** Runs before each event is recorded. */
+    var onEvent: (name: String) -> Unit = {}
     private val clock = MonotonicClock { Instant(scope.currentTime.milliseconds.inWholeNanoseconds) }
     private val events = EventRecorder { name, links, attributes ->
+        onEvent(name)
         recorded += TimedEvent(now, name, links.sample, attributes)
         EventId(InstanceId("i"), Incarnation("r"), recorded.size.toLong())
     }
