Give the two tests of unknown statuses different names

Both the clients' and the callers' test were called UnknownStatusTest, and the checks of docs/PROMISES.md take the first source and the first report of a class name that they find, whichever module it is in. The clients' one is now TargetClientStatusTest; nothing in it changes.

--- a/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/UnknownStatusTest.kt
+++ b/vanillarun-daemon/src/test/kotlin/dev/vanillarun/daemon/target/TargetClientStatusTest.kt
@@ -19,7 +19,7 @@
     "without a body" to "Content-Length: 0\r\n\r\n",
 )
 
-class UnknownStatusTest :
+class TargetClientStatusTest :
     DescribeSpec({
         // Guards against answers with a status that is none: callers got them, or waited until their deadline.
         describe("an answer whose status HTTP does not define") {
